Check the lengths that clients declare before the parser makes room for them

A peer that declares an array of a billion words in a dozen bytes made hiredis allocate a list of that size. Each pass of the garbage collector then walked it, and freeing it walked it again: seconds at half a core, in which the gateway did nothing else.

Headers are now followed ahead of the parser: at most 64 words of 64 KiB.

--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -5,7 +5,7 @@
 import pytest
 from fakes import FakeServer, array, call, node, resp, run, until
 
-from brackenloft.net.clients import LONGEST_COMMAND, MOST_PIPELINED
+from brackenloft.net.clients import LONGEST_COMMAND, MOST_PIPELINED, Lengths
 
 GOOD = "c=read,t=free,d=4000,units=1,spread=2,first=0"
 WHO, ID = "00000000b4d65521", "00000000000000aa"
@@ -112,6 +112,34 @@
     run(test())
 
 
+@pytest.mark.parametrize("junk", [  # each ends with the first byte that shows what it is
+    b"*100000000\r\n", b"*65\r\n", b"*2\r\n$4\r\nPING\r\n*", b"*1\r\n$65537\r\n",
+    b"*4\r\n$500000000\r\n", b"*000000000000000",
+])
+@pytest.mark.parametrize("cut", [1, 7, 100])
+def test_lengths_out_of_bounds_never_reach_the_parser(junk, cut):
+    async def test():
+        async with node(FakeServer()) as gateway:
+            peer = await gateway.peer()
+            sent = resp("PING") + junk
+            for at in range(0, len(sent), cut):
+                peer.send(sent[at:at + cut])
+                await asyncio.sleep(0)
+            assert await peer.reply() == b"PONG"
+            assert (await peer.reply()).startswith("-ERR ")  # though the command is not whole
+            assert await peer.reply() is None
+
+    run(test())
+
+
+@pytest.mark.parametrize("cut", [1, 2, 3, 5, 17, 1000])
+def test_lengths_within_bounds_all_reach_the_parser(cut):
+    lengths, stream = Lengths(), call(1, "post", body=b"*9\r\n$9\r\n" * 9) + resp("PING") + resp("A", "", "c")
+    pieces = [stream[at:at + cut] for at in range(0, len(stream), cut)]
+    assert [lengths.good(piece) for piece in pieces] == [len(piece) for piece in pieces]
+    assert not lengths.words and not lengths.skip and not lengths.header
+
+
 def test_second_request_of_an_id_in_hand_is_an_error_and_the_first_is_served():
     async def test():
         server = FakeServer(lambda words: None)
