Check the lengths that servers' answers declare, as those of clients

The same fault as on the clients' side: an answer that begins * made the parser allocate a list that the garbage collector then walked for seconds, and left the attempt waiting for its time-out. It is now a failed attempt at once. The checks move to net/lengths.py, which both sides use.

--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -12,14 +12,13 @@
 
 from brackenloft import interface as api
 from brackenloft.net.driver import CLIENT_MARGIN_MS, Call, Driver
+from brackenloft.net.lengths import Lengths
 
 log = logging.getLogger(__name__)
 
 MOST_PIPELINED = 64  # commands of one connection in hand; what comes behind waits in the kernel
 LONGEST_COMMAND = 512 * 1024  # bytes read without a whole command: a body, and one read of the loop
-MOST_WORDS = 64  # of a command: a request has five, what a library says at its start a few more
 LONGEST_WORD = 64 * 1024  # bytes: what the protocol allows a value
-LONGEST_HEADER = 16  # bytes of the line that declares a length
 STALLED_S = 15.0  # a client that takes no byte of its answers for so long is gone
 LAST_CUSTOMER = 1 << 33
 IDS = 64  # bytes of a request's id at most
@@ -113,57 +112,6 @@
     return encode
 
 
-class Lengths:
-    """Follows the lengths that a client declares, ahead of the parser.
-
-    Guards against a few bytes that declare an array of billions: the parser makes room for all of it, and
-    each pass of the garbage collector then walks that room for seconds.
-    """
-
-    __slots__ = ("words", "skip", "header")
-
-    def __init__(self) -> None:
-        self.words = self.skip = 0  # words of the command, and bytes of the word, that are yet to come
-        self.header = b""  # the part of a line whose end has not come yet
-
-    def good(self, data: bytes) -> int:
-        """How many of these bytes the parser may have: all, or those before what is out of bounds."""
-        at, size = 0, len(data)
-        while at < size:
-            if self.skip:
-                step = min(self.skip, size - at)
-                self.skip -= step
-                at += step
-                continue
-            line = self.header + data[at:at + LONGEST_HEADER]
-            end = line.find(b"\r\n")
-            if end < 0 and len(line) < LONGEST_HEADER and self._plausible(line):
-                self.header = line
-                return size
-            if end < 0 or not self._declare(line[:end]):
-                return at
-            at += end + 2 - len(self.header)
-            self.header = b""
-        return size
-
-    def _plausible(self, line: bytes) -> bool:
-        """Whether a line that is not whole yet can still declare what comes next."""
-        return line.startswith(b"$" if self.words else b"*")
-
-    def _declare(self, line: bytes) -> bool:
-        """Take over one declared length; false if it is none, or beyond the bounds."""
-        kind, digits = line[:1], line[1:]
-        if not digits.isdigit():
-            return False
-        number = int(digits)
-        if self.words:
-            self.words -= 1
-            self.skip = number + 2
-            return kind == b"$" and number <= LONGEST_WORD
-        self.words = number
-        return kind == b"*" and 0 < number <= MOST_WORDS
-
-
 class Slot:
     """The place of a command's reply in the order of its connection."""
 
@@ -185,7 +133,7 @@
         self.clients = clients
         self.reader = hiredis.Reader(replyError=CommandError)
         self.slots: deque[Slot] = deque()
-        self.lengths = Lengths()
+        self.lengths = Lengths(LONGEST_WORD)
         self.unparsed = 0
         self.out_of_bounds = False  # what came behind what the parser has is no command
         self.transport: asyncio.Transport | None = None
--- /dev/null
+++ b/brackenloft/net/lengths.py
@@ -0,0 +1,74 @@
+"""Bounds on what a peer declares in RESP, checked ahead of the parser."""
+
+from __future__ import annotations
+
+MOST_WORDS = 64  # of an array: a request has five, what a library says at its start a few more
+LONGEST_HEADER = 16  # bytes of the line that declares a length
+LINES = b"+-:"  # what begins a line that holds a value itself
+
+
+class Lengths:
+    """Follows the lengths that a peer declares, ahead of the parser.
+
+    Guards against a few bytes that declare an array of billions: the parser makes room for all of it, and
+    each pass of the garbage collector then walks that room for seconds.
+    """
+
+    __slots__ = ("longest_word", "answers", "words", "skip", "header", "in_line")
+
+    def __init__(self, longest_word: int, answers: bool = False) -> None:
+        self.longest_word, self.answers = longest_word, answers  # answers also have lines and nulls
+        self.words = self.skip = 0  # words of the array, and bytes of the word, that are yet to come
+        self.header = b""  # the part of a header whose end has not come yet
+        self.in_line = False
+
+    def good(self, data: bytes) -> int:
+        """How many of these bytes the parser may have: all, or those before what is out of bounds."""
+        at, size = 0, len(data)
+        while at < size:
+            if self.skip:
+                step = min(self.skip, size - at)
+                self.skip -= step
+                at += step
+            elif self.in_line or (self.answers and not self.header and data[at] in LINES):
+                at = self._line(data, at)
+            else:
+                line = self.header + data[at:at + LONGEST_HEADER]
+                end = line.find(b"\r\n")
+                if end < 0 and len(line) < LONGEST_HEADER and line[:1] in self._kinds():
+                    self.header = line
+                    return size
+                if end < 0 or not self._declare(line[:end]):
+                    return at
+                at += end + 2 - len(self.header)
+                self.header = b""
+        return size
+
+    def _line(self, data: bytes, at: int) -> int:
+        """Where the line ends, or the data."""
+        end = data.find(b"\n", at) + 1
+        self.in_line = not end
+        if end and self.words:
+            self.words -= 1
+        return end or len(data)
+
+    def _kinds(self) -> tuple[bytes, ...]:
+        if self.words:
+            return (b"$",)
+        return (b"*", b"$") if self.answers else (b"*",)
+
+    def _declare(self, line: bytes) -> bool:
+        """Take over one declared length; false if it is none, or beyond the bounds."""
+        kind, digits = line[:1], line[1:]
+        if kind not in self._kinds():
+            return False
+        null = self.answers and digits == b"-1"
+        if not null and not digits.isdigit():
+            return False
+        number = -2 if null else int(digits)
+        if kind == b"$":
+            self.words = max(0, self.words - 1)
+            self.skip = number + 2
+            return number <= self.longest_word
+        self.words = max(0, number)
+        return number <= MOST_WORDS and (self.answers or number > 0)
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -17,6 +17,7 @@
 import hiredis
 
 from brackenloft import interface as api
+from brackenloft.net.lengths import Lengths
 from brackenloft.settings import REPORT_FIELD
 
 log = logging.getLogger(__name__)
@@ -127,6 +128,7 @@
         self.socket: socket.socket | None = None
         self.task: asyncio.Task[None] | None = None
         self.reader = hiredis.Reader(replyError=ServerError)
+        self.lengths = Lengths(LONGEST_ANSWER, answers=True)
         self.handed = False  # the attempt's last byte to the kernel
         self.idle_since, self.unread = 0.0, 0
         self.closed = False
@@ -181,11 +183,14 @@
         self.handed = True
 
     def data_received(self, data: bytes) -> None:
-        self.reader.feed(data)
+        good = self.lengths.good(data)
+        self.reader.feed(data[:good])
         self.unread += len(data)
         try:
             answer = self.reader.gets()
-            more = self.reader.has_data()
+            more = self.reader.has_data() or good < len(data)
+            if answer is False and good < len(data):
+                raise ValueError("a length out of bounds")
         except (hiredis.HiredisError, ValueError, MemoryError):
             log.warning("a server broke the protocol: %.100r", data)
             self.close(api.Status.ERROR)
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -5,7 +5,8 @@
 import pytest
 from fakes import FakeServer, array, call, node, resp, run, until
 
-from brackenloft.net.clients import LONGEST_COMMAND, MOST_PIPELINED, Lengths
+from brackenloft.net.clients import LONGEST_COMMAND, LONGEST_WORD, MOST_PIPELINED
+from brackenloft.net.lengths import Lengths
 
 GOOD = "c=read,t=free,d=4000,units=1,spread=2,first=0"
 WHO, ID = "00000000b4d65521", "00000000000000aa"
@@ -134,7 +135,8 @@
 
 @pytest.mark.parametrize("cut", [1, 2, 3, 5, 17, 1000])
 def test_lengths_within_bounds_all_reach_the_parser(cut):
-    lengths, stream = Lengths(), call(1, "post", body=b"*9\r\n$9\r\n" * 9) + resp("PING") + resp("A", "", "c")
+    lengths = Lengths(LONGEST_WORD)
+    stream = call(1, "post", body=b"*9\r\n$9\r\n" * 9) + resp("PING") + resp("A", "", "c")
     pieces = [stream[at:at + cut] for at in range(0, len(stream), cut)]
     assert [lengths.good(piece) for piece in pieces] == [len(piece) for piece in pieces]
     assert not lengths.words and not lengths.skip and not lengths.header
--- a/tests/test_net_servers.py
+++ b/tests/test_net_servers.py
@@ -9,6 +9,7 @@
 
 from brackenloft import Limits, ListKind, ServerEntry, ServerState, Status
 from brackenloft.net import servers as module
+from brackenloft.net.lengths import Lengths
 from brackenloft.net.servers import Attempt, Readings, Reply
 
 COMMAND = resp("CALL.GET", "00000000b4d65521", "00000000000000aa", "c=read,t=free,d=10")
@@ -55,6 +56,8 @@
     (b"*0\r\n", Status.ERROR), (b"*-1\r\n", Status.ERROR), (b"+OK\r\n", Status.ERROR),
     (b"HTTP/1.1 200 OK\r\n\r\n", Status.ERROR), (b"$500000000\r\n" + b"x" * 3_000_000, Status.ERROR),
     (b"*4000000000\r\n", Status.ERROR), (b"*1\r\n:5\r\n", Status.ERROR),
+    (b"*100000000\r\n", Status.ERROR), (b"*3\r\n$1\r\nv\r\n*100000000\r\n", Status.ERROR),
+    (array(b"v") + b"*100000000\r\n", Status.OK), (b"*3\r\n$1\r\nv\r\n:5\r\n+x\r\n", Status.OK),
 ])
 def test_outcome_by_the_table_and_one_only(answer, status):
     async def test():
@@ -69,6 +72,15 @@
     run(test())
 
 
+@pytest.mark.parametrize("cut", [1, 2, 3, 5, 17, 1000])
+def test_lengths_of_good_answers_all_reach_the_parser(cut):
+    lengths = Lengths(module.LONGEST_ANSWER, answers=True)
+    stream = array(b"*9\r\n$9\r\n" * 9, b"used=1") + b"-ERR failed used=3\r\n-BUSY\r\n$2\r\nab\r\n"
+    pieces = [stream[at:at + cut] for at in range(0, len(stream), cut)]
+    assert [lengths.good(piece) for piece in pieces] == [len(piece) for piece in pieces]
+    assert not lengths.words and not lengths.skip and not lengths.header and not lengths.in_line
+
+
 def test_figures_on_use_and_load_in_answers_and_error_lines():
     read = Readings(("utilisation", "queue")).reply
     assert read([b"v", b"used=37,cost=4", b"inflight=7,queue=2,util=0.61"]) == Reply(
