Read the configuration again on SIGHUP and move the watch on discovery

SIGHUP had no handler: the program ended with 129, a crash, and where the signal was ignored from the start the watch was lost when the old address closed, so that requests went to drained servers. The handler reads the file, which comes before EDGE_DISCOVERY here, and moves the watch at once, from where it was. A file that can't be read yet is read again; until then all stays as it was.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -30,6 +30,7 @@
 ACCEPT_S = 0.45  # after SIGTERM: new connections go on coming for 0.4 s
 KILL_S = (3.0, 0.7)  # after SIGTERM comes SIGKILL: the longest deadline, this at most, and so much more
 SPARE_S = 0.3  # of that time, in which all is answered but not yet killed
+READ_AGAIN_S = (0.1, 20)  # after SIGHUP: between readings of a file that can't be read, and how many
 
 
 def _address(text: str) -> Address:
@@ -60,6 +61,21 @@
         )
 
 
+def _reload(discovery: Discovery, tries: int = READ_AGAIN_S[1]) -> None:
+    """Read the configuration again: discovery may have moved. Decisions keep the settings of the start.
+
+    The file comes before EDGE_DISCOVERY here, which is of the start. Guards against a file that is being
+    written: it is read again a little later; meanwhile all stays as it was.
+    """
+    try:
+        document = json.loads(Path(os.environ["EDGE_CONFIG"]).read_text())
+        discovery.move(_address(document["discovery"]))
+    except (OSError, ValueError, KeyError, TypeError, AttributeError) as error:
+        log.error("the configuration can't be read: %r", error)
+        if tries > 1:
+            asyncio.get_running_loop().call_later(READ_AGAIN_S[0], _reload, discovery, tries - 1)
+
+
 async def serve(config: Config) -> None:
     """Serve until SIGTERM, then see to what was taken and return."""
     loop = asyncio.get_running_loop()
@@ -78,6 +94,7 @@
             clients.ready = True
 
     discovery = Discovery(config.discovery, news)
+    loop.add_signal_handler(signal.SIGHUP, _reload, discovery)
     discovery.known(config.known)
     watching = loop.create_task(discovery.run())
     await clients.listen(*config.listen)
--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -6,6 +6,7 @@
 import json
 import logging
 from collections.abc import Callable
+from contextlib import suppress
 from itertools import count
 from typing import Any, cast
 
@@ -98,6 +99,11 @@
         if self.transport:
             self.transport.abort()
 
+    def end(self, why: str) -> None:
+        """End it; nothing if it has ended."""
+        if not self.done.done():
+            self._close(why)
+
     def data_received(self, data: bytes) -> None:
         self._heard()
         try:
@@ -140,6 +146,18 @@
         self.address, self.news = address, news
         self.roster = Roster()
         self.backoff_s = BACKOFF_S[0]
+        self.watch: Watch | None = None
+        self.moved = asyncio.Event()  # to another address: what waits, waits no longer
+
+    def move(self, address: Address) -> None:
+        """Watch at another address from now on, from where the watch at the old one was."""
+        if address == self.address:
+            return
+        log.info("discovery moves to %s:%d", *address)
+        self.address, self.backoff_s = address, BACKOFF_S[0]
+        self.moved.set()
+        if self.watch:
+            self.watch.end("moved")
 
     def known(self, document: Any) -> None:
         """The list as the configuration has it; it may be old."""
@@ -164,13 +182,19 @@
         """Watch, and watch anew, from where the last one ended."""
         loop = asyncio.get_running_loop()
         while True:
+            self.moved.clear()
             try:
                 async with asyncio.timeout(CONNECT_S):
-                    _, watch = await loop.create_connection(self._watch, *self.address)
-                await watch.done
+                    _, self.watch = await loop.create_connection(self._watch, *self.address)
+                if not self.moved.is_set():
+                    await self.watch.done
+                self.watch.end("replaced")
             except (OSError, TimeoutError) as error:
                 log.warning("discovery can't be reached: %r", error)
-            await asyncio.sleep(self.backoff_s)
+            self.watch = None
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self.moved.wait(), self.backoff_s)
+                continue
             self.backoff_s = min(BACKOFF_S[1], self.backoff_s * 2.0)
 
     def _watch(self) -> Watch:
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -97,6 +97,30 @@
     run(test())
 
 
+@pytest.mark.parametrize("reachable", [True, False])
+def test_discovery_that_moves_is_watched_at_its_new_address_at_once(monkeypatch, reachable):
+    monkeypatch.setattr(module, "BACKOFF_S", (1000.0, 1000.0))
+
+    async def test():
+        async with watched() as (discovery, fake, news):
+            _, watch = await fake.watch()
+            watch.write(chunk(listing(5, row("s-1", 1), reset=True)))
+            await news.get()
+            if not reachable:  # it waits to try again
+                watch.close()
+                await discovery.watch.done
+            moved = await FakeDiscovery().start()
+            discovery.move(("127.0.0.1", moved.port))
+            target, watch = await moved.watch()
+            assert target == "/discovery/hosts?watch=1&from=5"
+            watch.write(chunk(listing(6, row("s-2", 2))))
+            told, _ = await news.get()
+            assert told.version == 6
+            moved.server.close()
+
+    run(test())
+
+
 @pytest.mark.parametrize("answer", [
     b"HTTP/1.1 500 Odd\r\nContent-Length: 2\r\n\r\n{}", b"junk\r\n\r\n",
     b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -106,6 +106,34 @@
     run(test())
 
 
+def test_sighup_reads_the_configuration_again_and_discovery_moves(tmp_path):
+    async def test():
+        server, other = FakeServer(lambda words: array(b"v")), FakeServer(lambda words: array(b"w"))
+        await server.start()
+        await other.start()
+        async with program(tmp_path, server) as (process, port, discovery):
+            peer, path = await connect(port), tmp_path / "config.json"
+            _, watch = await discovery.watch()
+            watch.write(chunk(listing(2, row("s-1", server.port), reset=True)))
+            while await peer.ask(call(1)) != b"v":
+                await asyncio.sleep(0.01)
+            document, moved = json.loads(path.read_text()), await FakeDiscovery().start()
+            path.write_text("{")  # half written: read again until it is whole
+            process.send_signal(signal.SIGHUP)
+            assert await peer.ask(call(2)) == b"v"
+            path.write_text(json.dumps({**document, "discovery": f"127.0.0.1:{moved.port}"}))
+            process.send_signal(signal.SIGHUP)
+            target, watch = await moved.watch()
+            assert target.endswith("from=2")
+            watch.write(chunk(listing(3, row("s-2", other.port), reset=True)))
+            number = 2
+            while await peer.ask(call(number := number + 1)) != b"w":
+                await asyncio.sleep(0.01)
+            assert process.returncode is None
+
+    run(test())
+
+
 def test_while_stopping_it_accepts_for_a_while_and_then_closes_between_requests(monkeypatch):
     monkeypatch.setattr(program_module, "ACCEPT_S", 2.0)
 
