Close connections that show no request within 2.5 s

A peer that sent nothing, half a command or a single PING kept its connection until others pushed it out; with few peers, for good. A connection that has carried a request is left alone, unless a command on it stays half sent.

--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -20,6 +20,7 @@
 LONGEST_COMMAND = 512 * 1024  # bytes read without a whole command: a body, and one read of the loop
 LONGEST_WORD = 64 * 1024  # bytes: what the protocol allows a value
 STALLED_S = 15.0  # a client that takes no byte of its answers for so long is gone
+WHOLE_S = 2.5  # until a first request, and for the rest of a command: a peer is owed a close within 3 s
 LAST_CUSTOMER = 1 << 33
 IDS = 64  # bytes of a request's id at most
 
@@ -138,17 +139,21 @@
         self.out_of_bounds = False  # what came behind what the parser has is no command
         self.transport: asyncio.Transport | None = None
         self.ending = self.stuck = self.paused = self.reading = False
+        self.asked = False  # a request has come: clients keep such connections between their requests
         self.stall: asyncio.TimerHandle | None = None
+        self.overdue: asyncio.TimerHandle | None = None  # runs while a whole command is awaited
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are not asyncio.Transport by class: no isinstance here
         self.transport = cast(asyncio.Transport, transport)
+        self._await_command()
         self.clients.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
         if self.stall:
             self.stall.cancel()
+        self._command_came()
         self.clients.closed(self)
         slots, self.slots = self.slots, deque()
         for slot in slots:
@@ -185,8 +190,11 @@
                     self._broken()
                 break
             self.unparsed = 0
+            self._command_came()
             self._take(command)
         self.reading = False
+        if self.overdue is None and (self.lengths.within() or not self.asked):
+            self._await_command()
         self._throttle()
         self._leave_if_done()
 
@@ -198,6 +206,26 @@
             self.paused = pause
             (self.transport.pause_reading if pause else self.transport.resume_reading)()
 
+    def _await_command(self) -> None:
+        """Guards against peers that send nothing, half a command or one PING, and would stay for good."""
+        self.overdue = self.clients.loop.call_later(WHOLE_S, self._not_whole)
+
+    def _command_came(self) -> None:
+        if self.overdue:
+            self.overdue.cancel()
+            self.overdue = None
+
+    def _not_whole(self) -> None:
+        self.overdue = None
+        if self.paused:  # whole commands may wait behind those in hand: it is not the peer that is late
+            self._await_command()
+        elif not self.ending:
+            self.ending = True
+            if self.lengths.within():
+                self._reply(b"-ERR no whole command in time\r\n")
+            self._throttle()
+            self._leave_if_done()
+
     def _broken(self) -> None:
         """What is not RESP is answered and the connection closed, after the replies before it."""
         self.ending = True
@@ -224,6 +252,7 @@
         except ValueError as error:
             self._reply(f"-ERR {error}\r\n".encode("ascii", "replace"))
             return
+        self.asked = True
         slot = Slot(self, None, request.request_id)
         self.slots.append(slot)
         driver.request(Call(request.request_id, encode, slot.fill), request, request.patience_ms)
--- a/brackenloft/net/lengths.py
+++ b/brackenloft/net/lengths.py
@@ -44,6 +44,10 @@
                 self.header = b""
         return size
 
+    def within(self) -> bool:
+        """Whether what has come ends within a command or an answer."""
+        return bool(self.words or self.skip or self.header or self.in_line)
+
     def _line(self, data: bytes, at: int) -> int:
         """Where the line ends, or the data."""
         end = data.find(b"\n", at) + 1
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -5,6 +5,7 @@
 import pytest
 from fakes import FakeServer, array, call, node, resp, run, until
 
+from brackenloft.net import clients as module
 from brackenloft.net.clients import LONGEST_COMMAND, LONGEST_WORD, MOST_PIPELINED
 from brackenloft.net.lengths import Lengths
 
@@ -244,6 +245,46 @@
     run(test())
 
 
+@pytest.mark.parametrize("sent", [
+    b"", b"*", b"*4\r\n$8\r\nCALL", resp("PING"), resp("PING") + b"*4\r\n$8\r\nCALL.GET\r\n$",
+])
+def test_peer_without_a_whole_request_gets_a_close_and_for_half_a_command_an_error(monkeypatch, sent):
+    monkeypatch.setattr(module, "WHOLE_S", 0.5)
+
+    async def test():
+        async with node(FakeServer()) as gateway:
+            peer = await gateway.peer()
+            peer.send(sent)
+            if sent.startswith(resp("PING")):
+                assert await peer.reply() == b"PONG"
+            if sent not in (b"", resp("PING")):
+                assert (await peer.reply()).startswith("-ERR ")
+            assert await peer.reply() is None
+            await until(lambda: not gateway.clients.connections)
+
+    run(test())
+
+
+def test_client_that_has_asked_may_be_idle_or_wait_for_its_answer(monkeypatch):
+    monkeypatch.setattr(module, "WHOLE_S", 0.5)
+
+    async def test():
+        server = FakeServer(lambda words: None if words[2].endswith(b"1") else array(b"value"))
+        async with node(server) as gateway:
+            idle, waits = await gateway.peer(), await gateway.peer()
+            assert await idle.ask(call(2)) == b"value"
+            waits.send(call(1))
+            await server.until(lambda: len(server.commands) == 2)
+            late = await gateway.peer()  # times out after all that the others could be held to
+            assert await late.reply() is None
+            assert await idle.ask(call(3)) == b"value"
+            for writer in server.writers:
+                writer.write(array(b"value"))
+            assert await waits.reply() == b"value"
+
+    run(test())
+
+
 def test_commands_read_but_not_taken_yet_are_served_when_the_gateway_leaves():
     async def test():
         held = []
