--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -158,6 +158,7 @@
         self.settings, self.random = settings, random.Random(seed)
         self.classes = {item.name: item for item in settings.classes}
         self.plans = {item.name: item for item in settings.plans}
+        self.most_worth = max(item.worth for item in settings.classes) or 1.0
         self.customers: dict[tuple[str, str], Customer] = {}
         self.servers: dict[int, Server] = {}
         self.flights: dict[str, Flight] = {}
@@ -276,6 +277,16 @@
         """
         return kind.aim_ms - self.latency[kind.name]
 
+    def _longest_hold(self, kind: RequestClass) -> float:
+        """How long a hold may last: what is useful to the class worth most, less for one worth less.
+
+        Guards against inversion: at a customer over its quota the excess settles where the class with the
+        longest aim is still held, and classes with shorter aims, which may be worth more, always find it
+        beyond theirs. Harm: a burst of what is worth little is refused though its hold would have ended
+        within the aim.
+        """
+        return max(0.0, self._useful(kind)) * kind.worth / self.most_worth
+
     def _advice(self, customer: Customer, plan: Plan, units: float) -> float:
         """When a request refused for the quota may come again: when the bucket has drained for it."""
         limits = self.settings.limits
@@ -656,7 +667,7 @@
         flight = Flight(event, kind, plan, customer, self.now, self.random.random())
         before = customer.excess, customer.touched
         hold = self._meter(customer, plan, event.units)
-        if hold and hold >= min(event.patience_ms, self._useful(kind)):
+        if hold and hold >= min(event.patience_ms, self._longest_hold(kind)):
             customer.excess, customer.touched = before
             self.actions.append(Refuse(event.request_id, self._advice(customer, plan, event.units)))
             return
