Ask discovery for all of its list when a line behind the lost one was read too

A malformed line ends the watch and asks for the whole list, as what it told is missing. Lines behind it in the same read were still taken, and their version became the one to go on from, so that the lost change never came: a drained server would have stayed in use.

--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -77,6 +77,7 @@
         self.line = bytearray()
         self.transport: asyncio.Transport | None = None
         self.silent: asyncio.TimerHandle | None = None
+        self.ended = False
         self.done = asyncio.get_running_loop().create_future()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -96,6 +97,7 @@
 
     def _close(self, why: str) -> None:
         log.warning("the watch on discovery ended: %s", why)
+        self.ended = True
         if self.transport:
             self.transport.abort()
 
@@ -120,6 +122,8 @@
         *lines, rest = (bytes(self.line) + body).split(b"\n")
         self.line = bytearray(rest)
         for line in lines:
+            if self.ended:
+                return  # what stands behind a line that was lost must not count as all that has come
             if line.strip() and self.parser.get_status_code() == 200:
                 self.discovery.take(line, self)
         if len(self.line) > LONGEST_LINE:
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -72,6 +72,19 @@
     run(test())
 
 
+def test_lines_behind_a_malformed_one_do_not_hide_that_it_was_lost():
+    async def test():
+        async with watched() as (_, fake, news):
+            _, watch = await fake.watch()
+            watch.write(chunk(listing(1, row("s-1", 1), reset=True)))
+            await news.get()
+            watch.write(chunk(b"{lost\n" + listing(3, row("s-3", 3))))
+            target, _ = await fake.watch()
+            assert target == "/discovery/hosts?watch=1" and news.empty()
+
+    run(test())
+
+
 @pytest.mark.parametrize("known", [None, {}, [], {"generation": 1, "reset": True, "instances": [{}]}])
 def test_malformed_known_list_is_not_fatal(known):
     async def test():
