Leave out figures of servers that are none, and bound the units they tell

An answer with cost=nan wiped out a customer's excess, and one with cost=1e9 refused the customer for hours. Figures that are not finite and at least nought are left out; units are settled at the settings' largest request at most.

--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -298,7 +298,12 @@
         return min(limits.max_retry_after_ms, max(0.0, excess - burst) / rate)
 
     def _settle(self, customer: Customer, guess: float, true: float) -> None:
-        """Put a guess right once the answer tells the units."""
+        """Put a guess right once the answer tells the units.
+
+        Guards against an answer that tells more than a request can count: one such figure would refuse
+        the customer for hours.
+        """
+        true = min(true, max(guess, self.settings.largest_units))
         customer.excess = max(0.0, customer.excess + THOUSANDTHS * (true - guess))
 
     # ---- Quota guards
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
+from math import inf
 from typing import cast
 
 import hiredis
@@ -61,12 +62,14 @@
 
 
 def _pairs(text: str) -> dict[str, float]:
-    """``a=1,b=2`` as numbers; what is not of that form is left out."""
+    """``a=1,b=2`` as numbers; what is not of that form, or no figure at all, is left out."""
     found = {}
     for part in text.split(","):
         name, _, number = part.partition("=")
         with suppress(ValueError):
-            found[name] = float(number)
+            figure = float(number)
+            if 0.0 <= figure < inf:  # a cost of nan or below nought would wipe out a customer's excess
+                found[name] = figure
     return found
 
 
--- a/tests/test_net_servers.py
+++ b/tests/test_net_servers.py
@@ -90,6 +90,8 @@
         Status.ERROR, None, 120.0, None, (0.5, 3.0))
     assert read(module.ServerError("BUSY used=9")) == Reply(Status.FULL, None, 9.0)
     assert read([b"v", b"used=x,,=,nan", b"util=0.5"]) == Reply(Status.OK, b"v")
+    for figure in (b"nan", b"inf", b"-1", b"1e999"):
+        assert read([b"v", b"used=%b,cost=%b" % (figure, figure)]) == Reply(Status.OK, b"v")
 
 
 def test_refused_connection_never_ran_and_an_unsafe_request_goes_elsewhere():
