--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -335,7 +335,7 @@
         self.connections[client] = None
         if len(self.connections) <= self.most_connections:
             return
-        idle = next((one for one in self.connections if one is not client and not one.slots), client)
+        idle = self._least_missed(client)
         assert idle.transport
         self.closed(idle)  # at once: the next one must not count on the same place again
         idle.ending = True
@@ -343,6 +343,15 @@
             idle.transport.write(b"-ERR max number of clients reached\r\n")
         idle.transport.close()
 
+    def _least_missed(self, newest: Client) -> Client:
+        """The idle connection to push out: one that never asked anything first, else the longest idle.
+
+        Guards against strangers that connect and say nothing pushing out clients between their requests.
+        """
+        idle = [one for one in self.connections if one is not newest and not one.slots]
+        strangers = (one for one in idle if not one.asked)
+        return next(strangers, idle[0] if idle else newest)
+
     def closed(self, client: Client) -> None:
         """A connection has ended."""
         self.connections.pop(client, None)
