Arm one timer for a request that waits for its ceiling, not one an outcome

Every outcome tries all parked requests again, and each try of one that waits for its ceiling armed a further timer, which armed another when it fired.

--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -147,7 +147,7 @@
         self.out: dict[int, tuple[Server, float]] = {}
         self.tried: set[int] = set()
         self.closed = self.streaming = False
-        self.waiting = False  # for the end of a hold; the bucket's timer releases it
+        self.waiting = False  # for the end of a hold, or for the ceiling; a timer releases it
         self.maybe_ran: tuple[Server, float] | None = None  # the first attempt that may have run
 
 
@@ -716,7 +716,8 @@
         self.parked[flight.request.request_id] = flight
         if self.servers and len(self.parked) > max(1.0, self.pool):
             self._answer(min(self.parked.values(), key=self._value))
-        if wait and not flight.closed:
+        if wait and not flight.closed and not flight.waiting:
+            flight.waiting = True  # one timer each: every outcome tries all that are parked again
             self._arm(wait + self.settings.tick_ms, self._end_hold, flight)
 
     def _value(self, flight: Flight) -> float:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -181,6 +181,16 @@
     assert sum(name in rig.sent for name in names) == 1
 
 
+def test_request_that_waits_for_the_ceiling_has_one_timer_for_it_however_often_it_is_tried(rig):
+    waits = rig.ask("ceiling", units=4)  # 800 ms at 5 units a second
+    before = len(rig.timers)
+    for _ in range(50):  # each outcome tries all that are parked again
+        rig.finish(rig.ask())
+    assert len(rig.timers) == before + 100, "two for each: its deadline, and when it becomes slow"
+    rig.run(900.0)
+    assert waits in rig.sent
+
+
 def test_ceiling_bounds_what_is_sent_in_any_time():
     rig = Rig(SETTINGS)
     rig.servers(entry(1), entry(2))
