Say when to come back in every refusal, not only in those over quota

What was given up for want of a server, of a turn under a cap or of time was answered -BUSY alone, as was a marked retry under a thin slice, though the settings allow to say when: the client then came back by its own habit, often at once. The quota's wait is told, or the time in which those that wait have had their turn, whichever is longer.

--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -292,11 +292,23 @@
         limits = self.settings.limits
         if not limits.can_advise_retry:
             return 0.0
+        if not plan.rate:
+            return 0.0
         rate = plan.rate * self._share(customer)
         burst = max(plan.burst / customer.width, customer.largest) * THOUSANDTHS
         excess = customer.excess - rate * (self.now - customer.touched) + THOUSANDTHS * units
         return min(limits.max_retry_after_ms, max(0.0, excess - burst) / rate)
 
+    def _come_back(self, flight: Flight) -> float:
+        """When a request given up for want of a server or a turn may come again: the quota has room then,
+        and those that wait here now have had theirs, each pool of them in a mean latency."""
+        limits = self.settings.limits
+        if not limits.can_advise_retry:
+            return 0.0
+        turns = 1.0 + len(self.parked) / max(1.0, self.pool)
+        wait = turns * self.latency[flight.kind.name]
+        return min(limits.max_retry_after_ms, max(wait, self._advice(flight.customer, flight.plan, 0.0)))
+
     def _settle(self, customer: Customer, guess: float, true: float) -> None:
         """Put a guess right once the answer tells the units.
 
@@ -573,7 +585,7 @@
         unproven = flight.maybe_ran is not None or bool(flight.out)
         keyed_all = flight.kind.effect is Effect.KEYED and flight.kind.key_scope is KeyScope.ALL
         if flight.kind.effect is Effect.SAFE or keyed_all or not unproven:
-            self.actions.append(Refuse(request_id))
+            self.actions.append(Refuse(request_id, self._come_back(flight)))
         else:
             self.actions.append(Fail(request_id))
         self._refund(flight)
@@ -667,7 +679,7 @@
             return
         customer = self._customer(event, plan)
         if event.is_retry and self._thin(customer, plan):
-            self.actions.append(Refuse(event.request_id))
+            self.actions.append(Refuse(event.request_id, self._advice(customer, plan, event.units)))
             return
         flight = Flight(event, kind, plan, customer, self.now, self.random.random())
         before = customer.excess, customer.touched
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -41,6 +41,26 @@
         assert first_refusal(rig).retry_after_ms == told
 
 
+def test_what_is_given_up_for_want_of_a_server_or_a_turn_is_told_when_to_come_again():
+    limits = Limits(max_attempts=3, can_advise_retry=True, max_retry_after_ms=5000.0)
+    rig, told = rig_with(limits=limits), {}
+    plain = rig.do
+
+    def do(event):
+        actions = plain(event)
+        told.update({a.request_id: a.retry_after_ms for a in actions if isinstance(a, Refuse)})
+        return actions
+
+    rig.do = do
+    rig.servers(entry(1), entry(2))
+    capped = [rig.ask("only-cap") for _ in range(3)]  # one may be out from here
+    rig.run(4000.0)
+    assert set(told) == set(capped) and all(0.0 < ms <= 5000.0 for ms in told.values())
+    retry = rig.ask("only-cap", patience=0.5)
+    rig.run(10.0)
+    assert told[retry] > 0.0
+
+
 def first_refusal(rig: Rig) -> Refuse:
     """Ask for one customer, at one moment, until it is refused."""
     found: list[Refuse] = []
