Serve on until shortly before the end when stopping, not for 0.45 s

A gateway that was told to stop closed its listener and its idle connections after 0.45 s and ended 0.3 s later, three seconds before SIGKILL. Counters while it stops showed requests on open connections still coming at 0.5 s and later; each found no gateway and failed. It now serves on until 0.5 s before its end, and a hold that would outlast the end is refused at once.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -27,7 +27,7 @@
 
 OTHER_DESCRIPTORS = 32  # beside clients and servers: the log, the loop, discovery, the listener, a margin
 FIRST_LIST_S = 1.0  # how long the known list, which may be old, waits for discovery's before it must do
-ACCEPT_S = 0.45  # after SIGTERM: new connections go on coming for 0.4 s
+LAST_S = 0.5  # before its end a gateway that stops takes no more: what it took last is answered in that time
 KILL_S = (3.0, 0.7)  # after SIGTERM comes SIGKILL: the longest deadline, this at most, and so much more
 SPARE_S = 0.3  # of that time, in which all is answered but not yet killed
 READ_AGAIN_S = (0.1, 20)  # after SIGHUP: between readings of a file that can't be read, and how many
@@ -107,14 +107,18 @@
 
 
 async def _leave(settings: api.Settings, driver: Driver, clients: Clients) -> None:
-    """Go on accepting for the stated span, answer all that was taken, close; all before SIGKILL."""
+    """Serve on until shortly before the end, answer all that was taken, close; all before SIGKILL.
+
+    Guards against requests that find no gateway: clients use the connections they have for as long as
+    those stay open, and whoever sends them here learns late that they would be better off elsewhere.
+    """
     loop = asyncio.get_running_loop()
     longest_s = max(item.deadline_ms for item in settings.classes) / 1000.0
     span_s = min(KILL_S[0], longest_s) + KILL_S[1] - SPARE_S
     end = loop.time() + span_s
     log.info("stopping")
     driver.post(api.Stopping(span_s * 1000.0))
-    await asyncio.sleep(ACCEPT_S)
+    await asyncio.sleep(max(0.0, span_s - LAST_S))
     clients.stop_listening()
     while clients.connections and loop.time() < end:
         await asyncio.sleep(0.01)
--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -684,7 +684,7 @@
         flight = Flight(event, kind, plan, customer, self.now, self.random.random())
         before = customer.excess, customer.touched
         hold = self._meter(customer, plan, event.units)
-        if hold and hold >= min(event.patience_ms, self._longest_hold(kind)):
+        if hold and hold >= min(event.patience_ms, self.ends_at - self.now, self._longest_hold(kind)):
             customer.excess, customer.touched = before
             self.actions.append(Refuse(event.request_id, self._advice(customer, plan, event.units)))
             return
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -135,16 +135,20 @@
 
 
 def test_while_stopping_it_accepts_for_a_while_and_then_closes_between_requests(monkeypatch):
-    monkeypatch.setattr(program_module, "ACCEPT_S", 2.0)
+    monkeypatch.setattr(program_module, "KILL_S", (1.0, 0.8))  # of which the last 0.8 s take no more
 
     async def test():
         async with node(FakeServer()) as gateway:
+            old, clock = await gateway.peer(), asyncio.get_running_loop().time
             leaving = asyncio.ensure_future(
                 program_module._leave(FAKE_SETTINGS, gateway.driver, gateway.clients))
-            await asyncio.sleep(0)
+            ends = clock() + 0.5  # well before it takes no more, well after the front has been told
+            while clock() < ends:
+                await asyncio.sleep(0.01)
+            assert await old.ask(call(2)) == b"0000000000000002"
             late = await gateway.peer()
             assert await late.ask(call(3)) == b"0000000000000003"
-            assert await late.reply() is None
+            assert await late.reply() is None and await old.reply() is None
             await leaving
             assert not gateway.clients.connections
 
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -23,6 +23,13 @@
     assert rig.answers == {name: "Refuse"}
 
 
+def test_hold_past_the_end_of_the_gateway_is_refused_at_once(rig):
+    for _ in range(4):
+        rig.ask("metered")
+    rig.do(Stopping(150.0))
+    assert rig.answers.get(rig.ask("metered")) == "Refuse"  # it would be held for 200 ms
+
+
 def test_refusal_over_quota_tells_when_the_bucket_has_drained_so_that_coming_back_then_is_sent_at_once():
     rig = rig_with(limits=Limits(can_advise_retry=True, max_retry_after_ms=60_000.0),
                    plans=(Plan("metered", rate=2.0, burst=4.0),))
