Log every 5 s what was given up, by reason and plan

Nothing in the logs told why a gateway refused: quota, a cap, the ceiling, the pool, a thin slice or time. One bounded line does, with the pool and what is out.

--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -87,6 +87,10 @@
 RETRY_STORE = 10.0  # further attempts saved up at most
 
 
+# Log
+TALLY_MS = 5000.0  # between two lines that tell what was given up, and why
+
+
 Moment = tuple[float, int]  # the time, and how many attempts had been sent from here
 Mark = tuple[float, float, Moment]  # failures and all outcomes, both faded, and when they were noted
 NEVER: Moment = (-inf, 0)
@@ -175,6 +179,8 @@
         self.ready: list[Server] = []
         self.cold: list[Server] = []
         self.logged: set[str] = set()
+        self.tally: dict[tuple[str, str], int] = {}  # given up since the last line, by reason and plan
+        self.tally_at = -inf
         self.actions: list[Action] = []
         self.handlers: dict[type, Callable[[Any], None]] = {
             Request: self._on_request, Outcome: self._on_outcome, TimerFired: self._on_timer,
@@ -574,13 +580,14 @@
             if server:
                 self._send(flight, server)
                 return
-        self._answer(flight)
+        self._answer(flight, status.value)
 
-    def _answer(self, flight: Flight) -> None:
+    def _answer(self, flight: Flight, why: str) -> None:
         """The final answer: a refusal where a retry is proven harmless, else a failure."""
         if flight.closed:
             return
         flight.closed = True
+        self._count(why, flight.plan)
         request_id = flight.request.request_id
         unproven = flight.maybe_ran is not None or bool(flight.out)
         keyed_all = flight.kind.effect is Effect.KEYED and flight.kind.key_scope is KeyScope.ALL
@@ -679,6 +686,7 @@
             return
         customer = self._customer(event, plan)
         if event.is_retry and self._thin(customer, plan):
+            self._count("thin", plan)
             self.actions.append(Refuse(event.request_id, self._advice(customer, plan, event.units)))
             return
         flight = Flight(event, kind, plan, customer, self.now, self.random.random())
@@ -686,6 +694,7 @@
         hold = self._meter(customer, plan, event.units)
         if hold and hold >= min(event.patience_ms, self.ends_at - self.now, self._longest_hold(kind)):
             customer.excess, customer.touched = before
+            self._count("quota", plan)
             self.actions.append(Refuse(event.request_id, self._advice(customer, plan, event.units)))
             return
         self.flights[event.request_id] = flight
@@ -706,7 +715,7 @@
         request_id = flight.request.request_id
         wait = self._ceiling_wait(flight)
         if wait >= flight.deadline - self.now:
-            self._answer(flight)
+            self._answer(flight, "ceiling")
             return
         capped = flight.customer.out >= self._in_flight_cap(flight)
         server = None if wait or capped else self._choose(flight)
@@ -727,7 +736,7 @@
             self._arm(max(0.0, last), self._end_park, flight)
         self.parked[flight.request.request_id] = flight
         if self.servers and len(self.parked) > max(1.0, self.pool):
-            self._answer(min(self.parked.values(), key=self._value))
+            self._answer(min(self.parked.values(), key=self._value), "crowded")
         if wait and not flight.closed and not flight.waiting:
             flight.waiting = True  # one timer each: every outcome tries all that are parked again
             self._arm(wait + self.settings.tick_ms, self._end_hold, flight)
@@ -738,7 +747,9 @@
 
     def _end_park(self, flight: Flight) -> None:
         if flight.sends == 0 and any(server.ready for server in self.servers.values()):
-            self._answer(flight)
+            capped = flight.customer.out >= self._in_flight_cap(flight)
+            short = self._ceiling_wait(flight) > 0.0
+            self._answer(flight, "waited: cap" if capped else "waited: ceiling" if short else "waited: pool")
 
     def _retry_parked(self) -> None:
         for flight in sorted(self.parked.values(), key=self._value, reverse=True):
@@ -760,7 +771,7 @@
 
     def _on_deadline(self, flight: Flight) -> None:
         if not flight.streaming:
-            self._answer(flight)
+            self._answer(flight, "deadline")
 
     def _on_timer(self, event: TimerFired) -> None:
         call = self.timers.pop(event.token, None)
@@ -775,6 +786,17 @@
     def _log(self, text: str) -> None:
         self.actions.append(Log(text))
 
+    def _count(self, why: str, plan: Plan) -> None:
+        """Count what is given up; a line every few seconds tells it. Its keys are reasons times plans."""
+        self.tally[why, plan.name] = self.tally.get((why, plan.name), 0) + 1
+        self.tally_at = max(self.tally_at, self.started_at)
+        if self.now - self.tally_at >= TALLY_MS:
+            self.tally_at = self.now
+            counts = ", ".join(f"{why} {name} {n}" for (why, name), n in sorted(self.tally.items()))
+            self._log(f"given up: {counts}; pool {self.pool:.1f}, out {len(self.young)}, "
+                      f"parked {len(self.parked)}")
+            self.tally.clear()
+
     def _log_once(self, text: str) -> None:
         if text not in self.logged and len(self.logged) < 100:
             self.logged.add(text)
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -2,7 +2,7 @@
 
 from conftest import Rig, entry, rig_with
 
-from brackenloft import Limits, Plan, Refuse, Stopping
+from brackenloft import Limits, Log, Plan, Refuse, Stopping
 
 
 def test_all_in_hand_and_all_that_comes_is_answered_before_the_end(rig):
@@ -48,6 +48,31 @@
         assert first_refusal(rig).retry_after_ms == told
 
 
+def test_a_line_now_and_then_counts_what_was_given_up_by_reason_and_plan(rig):
+    lines, refused = [], 0
+    plain = rig.do
+
+    def do(event):
+        nonlocal refused
+        actions = plain(event)
+        refused += sum(isinstance(action, Refuse) for action in actions)
+        for action in actions:
+            if isinstance(action, Log):
+                lines.append((action.text, refused))
+        return actions
+
+    rig.do = do
+    for _ in range(12):  # seconds
+        for _ in range(20):  # of which the slice takes five a second
+            name = rig.ask("metered", patience=10.0)
+            if name in rig.sent:
+                rig.finish(name)
+        rig.run(1000.0)
+    (first, then), (second, last) = lines
+    assert first.startswith("given up: ") and f"quota metered {then}" in first
+    assert f"quota metered {last - then}" in second
+
+
 def test_what_is_given_up_for_want_of_a_server_or_a_turn_is_told_when_to_come_again():
     limits = Limits(max_attempts=3, can_advise_retry=True, max_retry_after_ms=5000.0)
     rig, told = rig_with(limits=limits), {}
