End a connection that sends sixteen bad commands in a row

Each bad command was answered and the connection lived on, however many came: a peer that sends 60 MB of small ones and reads nothing cost 1.9 s of CPU until its answers no longer fitted (6.9 MB taken), the price of thousands of requests. A request between begins anew.

--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -21,6 +21,7 @@
 LONGEST_WORD = 64 * 1024  # bytes: what the protocol allows a value
 STALLED_S = 15.0  # a client that takes no byte of its answers for so long is gone
 WHOLE_S = 2.5  # until a first request, and for the rest of a command: a peer is owed a close within 3 s
+MOST_BAD = 16  # bad commands in a row: who sends more is no client
 LAST_CUSTOMER = 1 << 33
 IDS = 64  # bytes of a request's id at most
 
@@ -139,6 +140,7 @@
         self.out_of_bounds = False  # what came behind what the parser has is no command
         self.transport: asyncio.Transport | None = None
         self.ending = self.stuck = self.paused = self.reading = False
+        self.bad = 0  # commands in a row that were answered with an error
         self.asked = False  # a request has come: clients keep such connections between their requests
         self.stall: asyncio.TimerHandle | None = None
         self.overdue: asyncio.TimerHandle | None = None  # runs while a whole command is awaited
@@ -241,7 +243,7 @@
         elif name == b"PING":
             self._reply(self.clients.pong())
         else:
-            self._reply(b"-ERR unknown command\r\n")
+            self._refuse(b"-ERR unknown command\r\n")
 
     def _call(self, command: list[bytes]) -> None:
         driver = self.clients.driver
@@ -250,13 +252,22 @@
             if request.request_id in driver.calls:
                 raise CommandError("a request of this id is in hand")
         except ValueError as error:
-            self._reply(f"-ERR {error}\r\n".encode("ascii", "replace"))
+            self._refuse(f"-ERR {error}\r\n".encode("ascii", "replace"))
             return
-        self.asked = True
+        self.asked, self.bad = True, 0
         slot = Slot(self, None, request.request_id)
         self.slots.append(slot)
         driver.request(Call(request.request_id, encode, slot.fill), request, request.patience_ms)
 
+    def _refuse(self, answer: bytes) -> None:
+        """Answer a bad command; the connection lives on, but not for an endless row of them.
+
+        Guards against megabytes of small commands that are no requests: each costs as much as a request.
+        """
+        self.bad += 1
+        self.ending = self.bad >= MOST_BAD
+        self._reply(answer)
+
     # ---- Replies out
 
     def _reply(self, answer: bytes) -> None:
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -143,6 +143,23 @@
     assert not lengths.words and not lengths.skip and not lengths.header
 
 
+def test_endless_row_of_bad_commands_is_cut_short_and_a_request_between_begins_it_anew():
+    async def test():
+        async with node(FakeServer()) as gateway:
+            peer, few = await gateway.peer(), (module.MOST_BAD - 1) * [resp("JUNK")]
+            for number in range(3):
+                peer.send(*few, call(number))
+                for _ in few:
+                    assert await peer.reply() == "-ERR unknown command"
+                assert await peer.reply() == b"%016x" % number
+            peer.send(*few, resp("CALL.GET"))
+            for _ in range(module.MOST_BAD):
+                assert (await peer.reply()).startswith("-ERR ")
+            assert await peer.reply() is None
+
+    run(test())
+
+
 def test_second_request_of_an_id_in_hand_is_an_error_and_the_first_is_served():
     async def test():
         server = FakeServer(lambda words: None)
