--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -9,6 +9,8 @@
 import os
 import signal
 import sys
+import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -26,6 +28,7 @@
 log = logging.getLogger("brackenloft")
 
 OTHER_DESCRIPTORS = 32  # beside clients and servers: the log, the loop, discovery, the listener, a margin
+LINES_PER_S = 20  # of the log, at most
 FIRST_LIST_S = 1.0  # how long the known list, which may be old, waits for discovery's before it must do
 LAST_S = 0.5  # before its end a gateway that stops takes no more: what it took last is answered in that time
 KILL_S = (3.0, 0.7)  # after SIGTERM comes SIGKILL: the longest deadline, this at most, and so much more
@@ -33,6 +36,29 @@
 READ_AGAIN_S = (0.1, 20)  # after SIGHUP: between readings of a file that can't be read, and how many
 
 
+class Sparing(logging.Filter):
+    """Lets so many lines through in a second and tells how many it kept back.
+
+    Guards against peers that write the log: each broken answer of a server is a line.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        super().__init__()
+        self.clock, self.second, self.lines, self.kept_back = clock, -1, 0, 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Whether the line is written."""
+        second = int(self.clock())
+        if second != self.second:
+            if self.kept_back:
+                record.msg, record.args = f"{record.getMessage()} ({self.kept_back} lines left out)", ()
+            self.second, self.lines, self.kept_back = second, 0, 0
+        self.lines += 1
+        if self.lines > LINES_PER_S:
+            self.kept_back += 1
+        return self.lines <= LINES_PER_S
+
+
 def _address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     return host, int(port)
@@ -129,6 +155,8 @@
     """Run the gateway; 0 after SIGTERM."""
     logging.basicConfig(
         stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s")
+    for handler in logging.getLogger().handlers:
+        handler.addFilter(Sparing())
     config = Config.load(dict(os.environ))
     gc.freeze()
     uvloop.run(serve(config))
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import signal
 import socket
@@ -134,6 +135,20 @@
     run(test())
 
 
+def test_log_is_bounded_and_tells_how_much_is_missing():
+    now = 7.0
+    sparing = program_module.Sparing(lambda: now)
+
+    def line() -> logging.LogRecord:
+        return logging.LogRecord("n", logging.WARNING, "p", 1, "broken %s", ("x",), None)
+
+    assert [sparing.filter(line()) for _ in range(30)] == [True] * 20 + [False] * 10
+    now = 8.0
+    first, second = line(), line()
+    assert sparing.filter(first) and sparing.filter(second)
+    assert first.getMessage() == "broken x (10 lines left out)" and second.getMessage() == "broken x"
+
+
 def test_while_stopping_it_accepts_for_a_while_and_then_closes_between_requests(monkeypatch):
     monkeypatch.setattr(program_module, "KILL_S", (1.0, 0.8))  # of which the last 0.8 s take no more
 
