Count only whole lines as signs of life of the watch on discovery

Any byte renewed the watch, so that one whose line never ends would have kept a gateway on an old list for good, drained servers included.

--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -89,7 +89,10 @@
         self._heard()
 
     def _heard(self) -> None:
-        """Guards against a watch that has died without a word: no line for several beats ends it."""
+        """Guards against a watch that has died without a word: no line for several beats ends it.
+
+        A whole line counts, not any byte: one that never ends tells nothing either.
+        """
         if self.silent:
             self.silent.cancel()
         loop = asyncio.get_running_loop()
@@ -107,7 +110,6 @@
             self._close(why)
 
     def data_received(self, data: bytes) -> None:
-        self._heard()
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -121,6 +123,8 @@
     def on_body(self, body: bytes) -> None:
         *lines, rest = (bytes(self.line) + body).split(b"\n")
         self.line = bytearray(rest)
+        if lines:
+            self._heard()
         for line in lines:
             if self.ended:
                 return  # what stands behind a line that was lost must not count as all that has come
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -110,6 +110,24 @@
     run(test())
 
 
+def test_watch_whose_line_never_ends_is_dead_too(monkeypatch):
+    monkeypatch.setattr(module, "SILENT_S", 0.2)
+
+    async def test():
+        async with watched() as (_, fake, news):
+            _, watch = await fake.watch()
+            watch.write(chunk(listing(5, row("s-1", 1), reset=True)))
+            await news.get()
+            again = asyncio.ensure_future(fake.watch())
+            while not again.done():
+                with suppress(RuntimeError):  # the watch is closed by now
+                    watch.write(chunk(b" "))
+                await asyncio.sleep(0.01)
+            assert again.result()[0] == "/discovery/hosts?watch=1&from=5"
+
+    run(test())
+
+
 @pytest.mark.parametrize("reachable", [True, False])
 def test_discovery_that_moves_is_watched_at_its_new_address_at_once(monkeypatch, reachable):
     monkeypatch.setattr(module, "BACKOFF_S", (1000.0, 1000.0))
