--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -140,7 +140,6 @@
         self.out_of_bounds = False  # what came behind what the parser has is no command
         self.transport: asyncio.Transport | None = None
         self.ending = self.stuck = self.paused = self.reading = False
-        self.spoke = False  # a whole command has come
         self.bad = 0  # commands in a row that were answered with an error
         self.asked = False  # a request has come: clients keep such connections between their requests
         self.stall: asyncio.TimerHandle | None = None
@@ -194,7 +193,6 @@
                 break
             self.unparsed = 0
             self._command_came()
-            self.spoke = True
             self._take(command)
         self.reading = False
         if self.overdue is None and (self.lengths.within() or not self.asked):
@@ -348,7 +346,7 @@
         self.connections[client] = None
         if len(self.connections) <= self.most_connections:
             return
-        idle = self._least_missed(client)
+        idle = next((one for one in self.connections if one is not client and not one.slots), client)
         assert idle.transport
         self.closed(idle)  # at once: the next one must not count on the same place again
         idle.ending = True
@@ -356,16 +354,6 @@
             idle.transport.write(b"-ERR max number of clients reached\r\n")
         idle.transport.close()
 
-    def _least_missed(self, newest: Client) -> Client:
-        """The idle connection to push out: one that never said anything first, else the longest idle.
-
-        Guards against strangers that connect and say nothing pushing out clients between their requests.
-        One that has said PING is no stranger: clients say it on a new connection, before their request.
-        """
-        idle = [one for one in self.connections if one is not newest and not one.slots]
-        strangers = (one for one in idle if not one.spoke)
-        return next(strangers, idle[0] if idle else newest)
-
     def closed(self, client: Client) -> None:
         """A connection has ended."""
         self.connections.pop(client, None)
