--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -8,6 +8,7 @@
 import logging
 import os
 import signal
+import socket
 import sys
 import time
 from collections.abc import Callable
@@ -19,6 +20,7 @@
 
 from brackenloft import interface as api
 from brackenloft.logic import Gateway
+from brackenloft.net import admin
 from brackenloft.net.clients import Clients
 from brackenloft.net.discovery import Discovery
 from brackenloft.net.driver import Clock, Driver
@@ -70,6 +72,7 @@
 
     listen: Address
     discovery: Address
+    admin: Address | None
     seed: int
     descriptors: int
     known: Any
@@ -79,14 +82,34 @@
     def load(environment: dict[str, str]) -> Config:
         """From EDGE_CONFIG; EDGE_LISTEN and EDGE_DISCOVERY, where set, say the same or come first."""
         document = json.loads(Path(environment["EDGE_CONFIG"]).read_text())
+        door = environment.get("EDGE_ADMIN") or document.get("admin")
         return Config(
             listen=_address(environment.get("EDGE_LISTEN") or document["listen"]),
             discovery=_address(environment.get("EDGE_DISCOVERY") or document["discovery"]),
+            admin=_address(door) if door else None,
             seed=int(document["seed"], 16), descriptors=int(document["limits"]["sockets"]),
             known=document["known"], settings=settings_from(document["settings"]),
         )
 
 
+def _passed(environment: dict[str, str], listen: Address) -> socket.socket | None:
+    """The clients' listener as the platform passes it on; None where there is none, or it is another one."""
+    text = environment.get("EDGE_PASSED_SOCKET")
+    if not text:
+        return None
+    try:
+        sock = socket.socket(fileno=int(text))
+    except (OSError, ValueError) as error:
+        log.error("the passed socket %r is none: %r", text, error)
+        return None
+    if sock.type == socket.SOCK_STREAM and sock.family == socket.AF_INET and sock.getsockname() == listen:
+        sock.setblocking(False)
+        return sock
+    log.error("the passed socket %r does not listen at %s:%d", text, *listen)
+    sock.detach()  # not ours: left as it was
+    return None
+
+
 def _reload(discovery: Discovery, tries: int = READ_AGAIN_S[1]) -> None:
     """Read the configuration again: discovery may have moved. Decisions keep the settings of the start.
 
@@ -102,13 +125,23 @@
             asyncio.get_running_loop().call_later(READ_AGAIN_S[0], _reload, discovery, tries - 1)
 
 
+def _calls(clients: Clients) -> dict[str, admin.Handler]:
+    """What each call of the operators does."""
+
+    async def health(_: str) -> admin.Answer:
+        return clients.ready, "serving" if clients.ready else "the list of servers is not known yet"
+
+    return {"HEALTH": health}
+
+
 async def serve(config: Config) -> None:
     """Serve until SIGTERM, then see to what was taken and return."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    budget = max(2, config.descriptors - OTHER_DESCRIPTORS)
+    others = OTHER_DESCRIPTORS + (admin.DESCRIPTORS if config.admin else 0)
+    budget = max(2, config.descriptors - others)
     servers = Servers(config.settings, budget // 2)
     driver = Driver(Gateway(config.settings, config.seed), servers, Clock())
     clients = Clients(driver, config.settings, budget // 2)
@@ -123,11 +156,15 @@
     loop.add_signal_handler(signal.SIGHUP, _reload, discovery)
     discovery.known(config.known)
     watching = loop.create_task(discovery.run())
-    await clients.listen(*config.listen)
+    await clients.listen(*config.listen, _passed(dict(os.environ), config.listen))
     loop.call_later(FIRST_LIST_S, lambda: setattr(clients, "ready", True))
+    door = admin.Door(_calls(clients))
+    if config.admin:
+        await door.listen(*config.admin)
     log.info("listening")
     await stop.wait()
     await _leave(config.settings, driver, clients)
+    door.close()
     watching.cancel()
     servers.close()
 
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import socket
 from collections import OrderedDict, deque
 from collections.abc import Callable
 from typing import cast
@@ -22,6 +23,7 @@
 STALLED_S = 15.0  # a client that takes no byte of its answers for so long is gone
 WHOLE_S = 2.5  # until a first request, and for the rest of a command: a peer is owed a close within 3 s
 MOST_BAD = 16  # bad commands in a row: who sends more is no client
+BACKLOG = 1024  # connections that wait to be accepted
 LAST_CUSTOMER = 1 << 33
 IDS = 64  # bytes of a request's id at most
 
@@ -330,9 +332,12 @@
         self.ready = self.leaving = False
         self.server: asyncio.Server | None = None
 
-    async def listen(self, host: str, port: int) -> None:
-        """Listen on this address only."""
-        self.server = await self.loop.create_server(lambda: Client(self), host, port, backlog=1024)
+    async def listen(self, host: str, port: int, passed: socket.socket | None = None) -> None:
+        """Listen on this address only, or on the socket that was passed on and listens there."""
+        if passed:
+            self.server = await self.loop.create_server(lambda: Client(self), sock=passed, backlog=BACKLOG)
+        else:
+            self.server = await self.loop.create_server(lambda: Client(self), host, port, backlog=BACKLOG)
 
     def pong(self) -> bytes:
         """The front takes in a gateway that says PONG: not before it knows whom to send to."""
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,122 @@
+"""The door for operators: one line in, one line out, and nobody keeps another one out."""
+
+import asyncio
+import socket
+
+import pytest
+from fakes import run
+
+from brackenloft.net import admin
+
+
+class Caller:
+    """One connection to the door."""
+
+    async def open(self, door: admin.Door) -> "Caller":
+        assert door.server
+        port = door.server.sockets[0].getsockname()[1]
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", port)
+        return self
+
+    async def ask(self, line: bytes) -> bytes:
+        """What comes back until the door closes."""
+        self.writer.write(line)
+        return await self.answer()
+
+    async def answer(self) -> bytes:
+        try:
+            return await self.reader.read()
+        except ConnectionResetError:
+            return b""
+
+
+async def a_door(**more) -> admin.Door:
+    asked = []
+
+    async def health(_: str) -> admin.Answer:
+        return True, "serving"
+
+    async def offline(name: str) -> admin.Answer:
+        asked.append(name)
+        return name == "s-1", "" if name == "s-1" else "nobody has this id"
+
+    async def broken(_: str) -> admin.Answer:
+        raise ZeroDivisionError
+
+    made = admin.Door({"HEALTH": health, "OFFLINE": offline, "LEAVE": broken, **more})
+    await made.listen("127.0.0.1", 0)
+    return made
+
+
+@pytest.mark.parametrize("line, begins", [
+    (b"HEALTH\n", b"YES"), (b"HEALTH\r\n", b"YES"), (b" health \n", b"YES"), (b"OFFLINE s-1\n", b"YES"),
+    (b"OFFLINE s-2\n", b"NO nobody"), (b"OFFLINE\n", b"NO "), (b"OFFLINE s-1 s-1\n", b"NO "),
+    (b"HEALTH s-1\n", b"NO "), (b"\n", b"NO "), (b"NONSENSE\n", b"NO "), (b"\xff\x00\xfe\n", b"NO "),
+    (b"LEAVE\n", b"NO failed"), (b"OFFLINE " + b"x" * 300 + b"\n", b"NO the line"),
+    (b"x" * 300, b"NO the line"),
+])
+def test_one_line_in_one_line_out_and_then_it_closes(line, begins):
+    async def test():
+        door = await a_door()
+        answer = await (await Caller().open(door)).ask(line)
+        assert answer.startswith(begins) and answer.endswith(b"\n") and answer.count(b"\n") == 1
+        assert (await (await Caller().open(door)).ask(b"HEALTH\n")).startswith(b"YES")
+        door.close()
+
+    run(test())
+
+
+def test_line_in_pieces_or_ended_by_the_end_of_sending_is_a_line():
+    async def test():
+        door = await a_door()
+        caller = await Caller().open(door)
+        for byte in b"OFFLINE s-1":
+            caller.writer.write(bytes([byte]))
+            await caller.writer.drain()
+        caller.writer.write_eof()
+        assert (await caller.answer()).startswith(b"YES")
+        door.close()
+
+    run(test())
+
+
+def test_silent_callers_are_told_no_after_a_while_and_give_way_to_new_ones(monkeypatch):
+    monkeypatch.setattr(admin, "LINE_S", 0.2)
+
+    async def test():
+        door = await a_door()
+        silent = [await Caller().open(door) for _ in range(3 * admin.MOST_CALLERS)]
+        assert (await (await Caller().open(door)).ask(b"HEALTH\n")).startswith(b"YES")
+        assert len(door.callers) <= admin.MOST_CALLERS
+        answers = [await caller.answer() for caller in silent]
+        assert answers[-1].startswith(b"NO no whole line")
+        assert not door.callers
+        door.close()
+
+    run(test())
+
+
+def test_call_that_takes_too_long_is_answered_no(monkeypatch):
+    monkeypatch.setattr(admin, "ANSWER_S", 0.05)
+
+    async def test():
+        async def never(_: str) -> admin.Answer:
+            await asyncio.get_running_loop().create_future()
+            return True, ""
+
+        door = await a_door(JOIN=never)
+        assert (await (await Caller().open(door)).ask(b"JOIN\n")).startswith(b"NO not done in time")
+        door.close()
+
+    run(test())
+
+
+def test_door_that_can_not_be_opened_is_missing_and_no_crash():
+    async def test():
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            door = admin.Door({})
+            await door.listen(*taken.getsockname())
+            assert door.server is None
+            door.close()
+
+    run(test())
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -38,6 +38,25 @@
         return listener.getsockname()[1]
 
 
+def test_passed_listener_is_adopted_and_outlives_the_program(tmp_path):
+    async def test():
+        server, door = await FakeServer(lambda words: array(b"v")).start(), free_port()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            at = f"127.0.0.1:{door}"
+            async with program(tmp_path, server, listener, EDGE_ADMIN=at) as (process, port, _):
+                await healthy(door)
+                assert await (await connect(port)).ask(call(1)) == b"v"
+                process.send_signal(signal.SIGTERM)
+                assert await process.wait() == 0
+            waiting = await connect(port)  # nobody accepts, and nobody refuses
+            listener.setblocking(False)
+            connection, _ = await asyncio.get_running_loop().sock_accept(listener)
+            connection.close()
+            waiting.writer.close()
+
+    run(test())
+
+
 async def connect(port: int) -> Peer:
     """Connect as soon as the program listens."""
     while True:
@@ -47,10 +66,36 @@
             await asyncio.sleep(0.01)
 
 
+async def start(path, env, passed: socket.socket | None = None):
+    """Start the program; where a listener is passed on, it is its descriptor 3, as on the platform."""
+    if passed is None:
+        return await asyncio.create_subprocess_shell(command(), cwd=ROOT, env=env)
+    launch = "import os, sys; os.dup2(int(sys.argv[1]), 3); os.execv('/bin/sh', ['sh', '-c', sys.argv[2]])"
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-c", launch, str(passed.fileno()), command(), cwd=ROOT,
+        env={**env, "EDGE_PASSED_SOCKET": "3"}, pass_fds=[passed.fileno()])
+
+
+async def tell(port: int, line: str) -> str:
+    """Call the operators' door; empty while there is none."""
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(line.encode() + b"\n")
+        return (await reader.read()).decode()
+    except OSError:
+        return ""
+
+
+async def healthy(port: int) -> None:
+    while not (await tell(port, "HEALTH")).startswith("YES"):
+        await asyncio.sleep(0.01)
+
+
 @asynccontextmanager
-async def program(tmp_path, server: FakeServer):
+async def program(tmp_path, server: FakeServer, passed: socket.socket | None = None, **more: str):
     """The running program, the port it listens on and the discovery it watches."""
-    discovery, port = await FakeDiscovery().start(), free_port()
+    discovery = await FakeDiscovery().start()
+    port = passed.getsockname()[1] if passed else free_port()
     path = tmp_path / "config.json"
     path.write_text(json.dumps({
         "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery.port}",
@@ -59,8 +104,8 @@
         "settings": SETTINGS,
     }))
     env = {**os.environ, "EDGE_CONFIG": str(path), "EDGE_NAME": "n0", "EDGE_LISTEN": f"127.0.0.1:{port}",
-           "EDGE_DISCOVERY": f"127.0.0.1:{discovery.port}"}
-    process = await asyncio.create_subprocess_shell(command(), cwd=ROOT, env=env)
+           "EDGE_DISCOVERY": f"127.0.0.1:{discovery.port}", "TMPDIR": str(tmp_path), **more}
+    process = await start(path, env, passed)
     try:
         yield process, port, discovery
     finally:
