--- a/brackenloft/__init__.py
+++ b/brackenloft/__init__.py
@@ -2,6 +2,7 @@
 
 from brackenloft.interface import (
     Action,
+    Admit,
     Cancel,
     ClientGone,
     CloseIdle,
@@ -9,6 +10,7 @@
     CounterAdd,
     CounterReply,
     DiscoveryMode,
+    Drain,
     Effect,
     Event,
     Fail,
@@ -26,11 +28,13 @@
     Request,
     RequestClass,
     Send,
+    ServerByHand,
     ServerEntry,
     ServerList,
     ServerState,
     SetTimer,
     Settings,
+    SetUsable,
     Status,
     Stopping,
     StreamStarted,
@@ -41,9 +45,10 @@
 from brackenloft.logic import Gateway
 
 __all__ = [
-    "Action", "Cancel", "ClientGone", "CloseIdle", "Contract", "CounterAdd", "CounterReply", "DiscoveryMode",
-    "Effect", "Event", "Fail", "FetchList", "Gateway", "KeyScope", "Limits", "ListKind", "Log", "Outcome",
-    "PeerMessage", "Plan", "Probe", "ProbeResult", "Refuse", "Request", "RequestClass", "Send",
-    "ServerEntry", "ServerList", "ServerState", "SetTimer", "Settings", "Status", "Stopping",
-    "StreamStarted", "Subscribe", "TellPeer", "TimerFired",
+    "Action", "Admit", "Cancel", "ClientGone", "CloseIdle", "Contract", "CounterAdd", "CounterReply",
+    "DiscoveryMode", "Drain", "Effect", "Event", "Fail", "FetchList", "Gateway", "KeyScope", "Limits",
+    "ListKind", "Log", "Outcome", "PeerMessage", "Plan", "Probe", "ProbeResult", "Refuse", "Request",
+    "RequestClass", "Send",
+    "ServerByHand", "ServerEntry", "ServerList", "ServerState", "SetTimer", "SetUsable", "Settings",
+    "Status", "Stopping", "StreamStarted", "Subscribe", "TellPeer", "TimerFired",
 ]
--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -22,7 +22,7 @@
 from brackenloft.logic import Gateway
 from brackenloft.net import admin
 from brackenloft.net.clients import Clients
-from brackenloft.net.discovery import Discovery
+from brackenloft.net.discovery import Discovery, Roster
 from brackenloft.net.driver import Clock, Driver
 from brackenloft.net.servers import Address, Servers
 from brackenloft.settings import settings_from
@@ -125,13 +125,42 @@
             asyncio.get_running_loop().call_later(READ_AGAIN_S[0], _reload, discovery, tries - 1)
 
 
-def _calls(clients: Clients) -> dict[str, admin.Handler]:
-    """What each call of the operators does."""
+def _calls(driver: Driver, clients: Clients, roster: Roster) -> dict[str, admin.Handler]:
+    """What each call of the operators does: an event, and yes once the decisions have taken it over."""
+    gateway = driver.gateway
 
     async def health(_: str) -> admin.Answer:
-        return clients.ready, "serving" if clients.ready else "the list of servers is not known yet"
-
-    return {"HEALTH": health}
+        if not clients.ready:
+            return False, "the list of servers is not known yet"
+        return True, f"{'drained' if gateway.draining else 'serving'}, {len(gateway.by_hand)} servers out"
+
+    async def offline(name: str) -> admin.Answer:
+        number = roster.number(name)
+        if not number:
+            return False, "nobody has this id"
+        roster.pin(name)
+        driver.post(api.ServerByHand(number, True))
+        if number not in gateway.by_hand:
+            roster.unpin(name, number in gateway.servers)
+            return False, "too many servers are out"
+        return True, "out"
+
+    async def online(name: str) -> admin.Answer:
+        number = roster.number(name)
+        if not number:
+            return False, "nobody has this id"
+        driver.post(api.ServerByHand(number, False))
+        roster.unpin(name, number in gateway.servers)
+        return True, "back" if number in gateway.servers else "back, once discovery lists it"
+
+    def drain(active: bool) -> admin.Handler:
+        async def call(_: str) -> admin.Answer:
+            driver.post(api.Drain(active))
+            return gateway.draining == active, "drained" if active else "taking clients"
+        return call
+
+    return {"HEALTH": health, "OFFLINE": offline, "ONLINE": online, "LEAVE": drain(True),
+            "JOIN": drain(False)}
 
 
 async def serve(config: Config) -> None:
@@ -145,6 +174,7 @@
     servers = Servers(config.settings, budget // 2)
     driver = Driver(Gateway(config.settings, config.seed), servers, Clock())
     clients = Clients(driver, config.settings, budget // 2)
+    driver.on_admit = clients.admit
 
     def news(listing: api.ServerList, addresses: dict[int, Address]) -> None:
         servers.update(listing, addresses)
@@ -158,7 +188,7 @@
     watching = loop.create_task(discovery.run())
     await clients.listen(*config.listen, _passed(dict(os.environ), config.listen))
     loop.call_later(FIRST_LIST_S, lambda: setattr(clients, "ready", True))
-    door = admin.Door(_calls(clients))
+    door = admin.Door(_calls(driver, clients, discovery.roster))
     if config.admin:
         await door.listen(*config.admin)
     log.info("listening")
--- a/brackenloft/interface.py
+++ b/brackenloft/interface.py
@@ -302,6 +302,21 @@
     within_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class ServerByHand:
+    """An operator takes a server out, or says that it may serve again, whatever discovery lists."""
+
+    server: int
+    out: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Drain:
+    """An operator wants no clients here any more, or wants them back; the gateway lives on."""
+
+    active: bool
+
+
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
     """Bytes from another gateway."""
@@ -322,7 +337,7 @@
 
 Event = (
     ServerList | Request | Outcome | StreamStarted | ClientGone | TimerFired
-    | ProbeResult | PeerMessage | CounterReply | Stopping
+    | ProbeResult | PeerMessage | CounterReply | Stopping | ServerByHand | Drain
 )
 
 
@@ -399,6 +414,25 @@
     server: int
 
 
+@dataclass(frozen=True, slots=True)
+class SetUsable:
+    """Whether connections to a server may be used, on top of what its list says."""
+
+    server: int
+    usable: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Admit:
+    """Whether the front is told to send clients, and how long their connections are kept without a request.
+
+    ``linger_ms`` of inf keeps them; else each is closed as its last answer goes out, or after so long.
+    """
+
+    serving: bool
+    linger_ms: float = float("inf")
+
+
 @dataclass(frozen=True, slots=True)
 class TellPeer:
     """Send bytes to one gateway, or to all with -1."""
@@ -418,5 +452,5 @@
 
 Action = (
     Send | Refuse | Fail | Cancel | SetTimer | Log | Subscribe | FetchList | Probe | CloseIdle
-    | TellPeer | CounterAdd
+    | TellPeer | CounterAdd | SetUsable | Admit
 )
--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -18,9 +18,11 @@
 
 from brackenloft.interface import (
     Action,
+    Admit,
     Cancel,
     ClientGone,
     DiscoveryMode,
+    Drain,
     Effect,
     Event,
     Fail,
@@ -34,11 +36,13 @@
     Request,
     RequestClass,
     Send,
+    ServerByHand,
     ServerEntry,
     ServerList,
     ServerState,
     SetTimer,
     Settings,
+    SetUsable,
     Status,
     Stopping,
     StreamStarted,
@@ -86,6 +90,12 @@
 RETRY_SHARE = 0.2  # further attempts per first one, over time: bounds what failures can add to the load
 RETRY_STORE = 10.0  # further attempts saved up at most
 
+# Operators
+MOST_OUT = 1024  # servers out by hand at once
+OWED_MS = 1500.0  # after it is put back a server is used, whether its turn has come or not
+LEAVING_MS = (800.0, 1500.0)  # into a drain: connections close as they are answered; all that are idle close
+IDLE_MS = 300.0  # without a request a connection is closed in the first of these steps
+ELSEWHERE_MS = 200.0  # advice to a client that comes after all: the front has sent nobody for longer
 
 # Log
 TALLY_MS = 5000.0  # between two lines that tell what was given up, and why
@@ -114,11 +124,12 @@
     """What this gateway knows of one server."""
 
     __slots__ = ("id", "zone", "cell", "ready", "started", "out", "ratio", "ratio_at", "queue", "queue_at",
-                 "marks", "phase")
+                 "marks", "phase", "listed", "back", "owed_at")
 
     def __init__(self, entry: ServerEntry, phase: float) -> None:
         self.phase = phase
         self.id = entry.server
+        self.back, self.owed_at = 0.0, inf  # when it was put back by hand, and when it must be used for that
         self.out: set[tuple[str, int]] = set()  # attempts out
         self.reset()
         self.update(entry)
@@ -130,8 +141,9 @@
 
     def update(self, entry: ServerEntry) -> None:
         """Take over what discovery says."""
-        self.zone, self.cell, self.started = entry.zone, entry.cell, entry.started_ms
-        self.ready = entry.state is ServerState.READY
+        self.zone, self.cell = entry.zone, entry.cell
+        self.started = max(entry.started_ms, self.back)
+        self.ready = self.listed = entry.state is ServerState.READY
 
 
 class Flight:
@@ -176,6 +188,9 @@
         self.marks: dict[str, Mark] = {}  # of all servers together, those of no class by zone
         self.quick: dict[str, dict[int, Server]] = {item.name: {} for item in settings.classes}
         self.sends = 0
+        self.by_hand: set[int] = set()  # servers that an operator took out, listed or not
+        self.drains = 0  # how many times the drain began or ended: timers of an older one do nothing
+        self.draining = self.left = False  # whether a drain is on, and whether its last step has come
         self.ready: list[Server] = []
         self.cold: list[Server] = []
         self.logged: set[str] = set()
@@ -186,6 +201,7 @@
             Request: self._on_request, Outcome: self._on_outcome, TimerFired: self._on_timer,
             ServerList: self._on_list, ClientGone: self._on_gone, StreamStarted: self._on_stream,
             ProbeResult: self._on_probe, Stopping: self._on_stopping,
+            ServerByHand: self._on_hand, Drain: self._on_drain,
         }
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
@@ -404,6 +420,9 @@
         if not flight.sends and len(self.young) >= self.pool - flight.turn:
             return None  # a pool of 1.4: one out for each request, a second for four in ten
         few = self.ready
+        owed = [s for s in self.cold if s.ready and s.owed_at <= self.now]
+        if owed and not flight.sends:
+            return owed[0]
         if flight.sends:
             few = [s for s in few if s.id not in flight.tried and self._in_group(flight, s)]
             if not few and flight.kind.effect is Effect.KEYED:
@@ -537,6 +556,7 @@
         flight.out[number] = (server, self.now)
         flight.customer.out += 1
         server.out.add((request.request_id, number))
+        server.owed_at = inf
         self.sends += 1
         self.young.add((request.request_id, number))
         self.actions.append(Send(request.request_id, server.id))
@@ -644,12 +664,15 @@
             self._remove(id for id in list(self.servers) if id not in listed)
         for entry in event.entries:
             self._take_entry(entry)
-        self.ready = [server for server in self.servers.values() if server.ready]
-        self.cold = [server for server in self.ready if self._warmth(server) < 1.0]
+        self._relist()
         if event.kind is ListKind.CACHED:
             self.pool = FIRST_LIMIT * len(self.servers) / self.settings.gateways
         self._retry_parked()
 
+    def _relist(self) -> None:
+        self.ready = [server for server in self.servers.values() if server.ready]
+        self.cold = [server for server in self.ready if self._warmth(server) < 1.0]
+
     def _ask(self, kind: ListKind) -> None:
         """Subscribe at the start and after a failure; ask again well within the time the rules give."""
         if kind in (ListKind.CACHED, ListKind.FAILED):
@@ -667,6 +690,8 @@
             if entry.started_ms > server.started:
                 server.reset()
             server.update(entry)
+        if entry.server in self.by_hand and entry.server in self.servers:
+            self.servers[entry.server].ready = False
 
     def _remove(self, ids: Iterable[int]) -> None:
         for server_id in list(ids):
@@ -674,6 +699,52 @@
             if server:
                 server.ready = False
 
+    # ---- Operators
+
+    def _on_hand(self, event: ServerByHand) -> None:
+        """Take a server out, or put it back; said twice it changes nothing.
+
+        It is put back as one that starts at this moment: operators restart what they take out, and
+        discovery may not tell for seconds.
+        """
+        if event.out == (event.server in self.by_hand):
+            return
+        server = self.servers.get(event.server)
+        if event.out:
+            if server is None or len(self.by_hand) >= MOST_OUT:
+                return
+            self.by_hand.add(event.server)
+        else:
+            self.by_hand.discard(event.server)
+        if server:
+            if not event.out:
+                server.reset()
+                server.started = server.back = self.now
+                server.owed_at = self.now + OWED_MS
+            server.ready = server.listed and not event.out
+        self.actions.append(SetUsable(event.server, not event.out))
+        self._log(f"server {event.server} {'taken out' if event.out else 'put back'} by hand")
+        self._relist()
+        self._retry_parked()
+
+    def _on_drain(self, event: Drain) -> None:
+        """The front is told at once; clients' connections are closed when it has long taken notice."""
+        if event.active == self.draining:
+            return
+        self.draining, self.left = event.active, False
+        self.drains += 1
+        self.actions.append(Admit(not event.active))
+        self._log("drained by hand" if event.active else "takes clients again")
+        if event.active:
+            for delay, linger in zip(LEAVING_MS, (IDLE_MS, 0.0), strict=True):
+                self._arm(delay, self._on_leaving, (self.drains, linger))
+
+    def _on_leaving(self, step: tuple[int, float]) -> None:
+        drain, linger = step
+        if drain == self.drains:
+            self.left = linger == 0.0
+            self.actions.append(Admit(False, linger))
+
     # ---- Dispatch
 
     def _on_request(self, event: Request) -> None:
@@ -684,6 +755,12 @@
             self._log_once(f"refused: unknown class {event.class_name!r} or plan {event.plan!r}")
             self.actions.append(Refuse(event.request_id))
             return
+        if self.left:
+            self._count("drained", plan)
+            advice = min(ELSEWHERE_MS, self.settings.limits.max_retry_after_ms)
+            self.actions.append(Refuse(
+                event.request_id, advice if self.settings.limits.can_advise_retry else 0.0))
+            return
         customer = self._customer(event, plan)
         if event.is_retry and self._thin(customer, plan):
             self._count("thin", plan)
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -7,6 +7,7 @@
 import socket
 from collections import OrderedDict, deque
 from collections.abc import Callable
+from math import inf
 from typing import cast
 
 import hiredis
@@ -23,6 +24,7 @@
 STALLED_S = 15.0  # a client that takes no byte of its answers for so long is gone
 WHOLE_S = 2.5  # until a first request, and for the rest of a command: a peer is owed a close within 3 s
 MOST_BAD = 16  # bad commands in a row: who sends more is no client
+SWEEP_S = 0.1  # between two looks at idle connections while they are not wanted
 BACKLOG = 1024  # connections that wait to be accepted
 LAST_CUSTOMER = 1 << 33
 IDS = 64  # bytes of a request's id at most
@@ -142,6 +144,7 @@
         self.out_of_bounds = False  # what came behind what the parser has is no command
         self.transport: asyncio.Transport | None = None
         self.ending = self.stuck = self.paused = self.reading = False
+        self.idle_since = clients.loop.time()
         self.bad = 0  # commands in a row that were answered with an error
         self.asked = False  # a request has come: clients keep such connections between their requests
         self.stall: asyncio.TimerHandle | None = None
@@ -170,6 +173,7 @@
         if self.ending or self.out_of_bounds:
             return
         self.clients.connections.move_to_end(self)  # the last to be pushed out
+        self.idle_since = self.clients.loop.time()
         good = self.lengths.good(data)
         self.out_of_bounds = good < len(data)
         self.reader.feed(data[:good] if self.out_of_bounds else data)
@@ -285,6 +289,7 @@
             if answer is None:
                 break
             self.slots.popleft()
+            self.idle_since = self.clients.loop.time()
             self.transport.write(answer)
         if self.reading:
             return
@@ -300,6 +305,13 @@
         """
         if self.transport and not self.slots and (self.ending or self.clients.leaving):
             self.transport.close()
+        elif self.clients.linger_s < inf and self.asked and not self.lengths.within():
+            self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close unless something is owed on it."""
+        if self.transport and not self.slots:
+            self.transport.close()
 
     def pause_writing(self) -> None:
         """The client does not take its answers: it is read no further, and given up after a while.
@@ -329,7 +341,9 @@
         self.most_connections = most_connections
         self.connections: OrderedDict[Client, None] = OrderedDict()
         self.loop = asyncio.get_running_loop()
-        self.ready = self.leaving = False
+        self.ready = self.leaving = False  # ready: the list of servers is known
+        self.serving, self.linger_s = True, inf  # as the decisions want it
+        self.sweeper: asyncio.TimerHandle | None = None
         self.server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int, passed: socket.socket | None = None) -> None:
@@ -341,7 +355,26 @@
 
     def pong(self) -> bytes:
         """The front takes in a gateway that says PONG: not before it knows whom to send to."""
-        return b"+PONG\r\n" if self.ready else b"-LOADING the list of servers is not known yet\r\n"
+        if not self.ready:
+            return b"-LOADING the list of servers is not known yet\r\n"
+        return b"+PONG\r\n" if self.serving else b"-DRAINING clients are served elsewhere\r\n"
+
+    def admit(self, action: api.Admit) -> None:
+        """Tell the front whether to send clients, and close connections that are not used for so long."""
+        self.serving, self.linger_s = action.serving, action.linger_ms / 1000.0
+        if self.sweeper is None and self.linger_s < inf:
+            self._sweep()
+
+    def _sweep(self) -> None:
+        """Close what has been idle for longer than is wanted; with a part of a command, at the last only."""
+        self.sweeper = None
+        if self.linger_s == inf:
+            return
+        before = self.loop.time() - self.linger_s
+        for client in [c for c in self.connections if c.idle_since <= before]:
+            if self.linger_s == 0.0 or not client.lengths.within():
+                client.close_idle()
+        self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
     def opened(self, client: Client) -> None:
         """Count a new connection; beyond the limit an idle one goes, or else the new one.
--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -34,6 +34,21 @@
         self.numbers: dict[str, int] = {}
         self.unused = count(1)  # never used again: an attempt on a server that is gone may still be out
         self.generation: int | None = None
+        self.pinned: set[str] = set()  # ids that keep their number, listed or not
+
+    def pin(self, name: str) -> None:
+        """Keep an id's number, whatever is listed."""
+        self.pinned.add(name)
+
+    def number(self, name: str) -> int:
+        """An id's number; 0 for one that nobody has."""
+        return self.numbers.get(name, 0)
+
+    def unpin(self, name: str, listed: bool) -> None:
+        """Forget an id's number when it is not listed."""
+        self.pinned.discard(name)
+        if not listed:
+            self.numbers.pop(name, None)
 
     def read(self, document: Any, known: bool = False) -> tuple[api.ServerList, dict[int, Address]]:
         """A list and the addresses in it; raises ValueError, KeyError or TypeError if it is malformed."""
@@ -45,10 +60,10 @@
             addresses[entry.server] = address
         generation = int(document["generation"])
         if full:
-            listed = {row["instanceId"] for row in document["instances"]}
+            listed = {row["instanceId"] for row in document["instances"]} | self.pinned
             self.numbers = {name: number for name, number in self.numbers.items() if name in listed}
         for row in document["instances"]:
-            if row["lifecycle"] == "Gone":
+            if row["lifecycle"] == "Gone" and row["instanceId"] not in self.pinned:
                 self.numbers.pop(row["instanceId"], None)
         self.generation = generation
         kind = api.ListKind.CACHED if known else api.ListKind.FULL if full else api.ListKind.CHANGES
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -113,11 +113,12 @@
 class Host:
     """A server as discovery last told it. Each change that makes old connections useless is an epoch."""
 
-    __slots__ = ("address", "started", "ready", "idle", "epoch")
+    __slots__ = ("address", "started", "listed", "ready", "idle", "epoch")
 
     def __init__(self) -> None:
         self.address: Address = ("", 0)
-        self.started, self.ready, self.epoch = 0.0, False, 0
+        self.started, self.epoch = 0.0, 0
+        self.listed = self.ready = False  # ready: listed so, and not held
         self.idle: list[Connection] = []  # the most recently used last
 
 
@@ -262,6 +263,7 @@
         self.readings = Readings(settings.load_fields)
         self.most_connections = most_connections
         self.hosts: dict[int, Host] = {}
+        self.held: set[int] = set()  # not to be used whatever discovery lists
         self.connections: set[Connection] = set()
         self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
@@ -280,10 +282,19 @@
             # Guards against an old connection to a server that restarted or whose address was replaced.
             fresh = host.address == address and host.started == entry.started_ms
             host.address, host.started = address, entry.started_ms
-            host.ready = entry.state is api.ServerState.READY
+            host.listed = entry.state is api.ServerState.READY
+            host.ready = host.listed and entry.server not in self.held
             if not (fresh and host.ready):
                 self._renew(host)
 
+    def hold(self, server: int, held: bool) -> None:
+        """Use no connection to a server any more, or use it again; what is out there goes on."""
+        (self.held.add if held else self.held.discard)(server)
+        host = self.hosts.get(server)
+        if host:
+            host.ready = host.listed and not held
+            self._renew(host)
+
     def _remove(self, server: int) -> None:
         host = self.hosts.pop(server, None)
         if host:
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -213,3 +213,30 @@
             assert not gateway.clients.connections
 
     run(test())
+
+
+def test_operators_take_servers_out_and_drain_through_the_door(tmp_path):
+    async def test():
+        server, port = await FakeServer(lambda words: array(b"v")).start(), free_port()
+        async with program(tmp_path, server, EDGE_ADMIN=f"127.0.0.1:{port}") as (_, clients, discovery):
+            _, watch = await discovery.watch()
+            watch.write(chunk(listing(2, row("s-1", server.port), reset=True)))
+            await healthy(port)
+            peer = await connect(clients)
+            assert (await tell(port, "OFFLINE s-9")).startswith("NO")
+            assert (await tell(port, "ONLINE s-9")).startswith("NO")
+            assert (await tell(port, "OFFLINE s-1")).startswith("YES")
+            watch.write(chunk(listing(3, reset=True)))  # gone for discovery: still known as out
+            while "once" not in await tell(port, "ONLINE s-1"):
+                assert (await tell(port, "OFFLINE s-1")).startswith(("YES", "NO"))
+            assert (await tell(port, "ONLINE s-1")).startswith("NO")
+            watch.write(chunk(listing(4, row("s-1", server.port), reset=True)))
+            while await peer.ask(call(free_port())) != b"v":
+                await asyncio.sleep(0.01)
+            assert (await tell(port, "LEAVE")).startswith("YES")
+            assert (await peer.ask(resp("PING"))).startswith("-")
+            assert (await tell(port, "HEALTH")).startswith("YES drained")
+            assert (await tell(port, "JOIN")).startswith("YES")
+            assert await peer.ask(resp("PING")) == b"PONG"
+
+    run(test())
