Hand over to the next process in one step: state, listener, connections, operators' wishes

A test found that connections behind the state were adopted before it was loaded; it is loaded as its end comes now.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -22,8 +22,10 @@
 from brackenloft.logic import Gateway
 from brackenloft.net import admin
 from brackenloft.net.clients import Clients
-from brackenloft.net.discovery import Discovery, Roster
+from brackenloft.net.discovery import Discovery
 from brackenloft.net.driver import Clock, Driver
+from brackenloft.net.handover import Handover
+from brackenloft.net.operators import Operators
 from brackenloft.net.servers import Address, Servers
 from brackenloft.settings import settings_from
 
@@ -70,6 +72,7 @@
 class Config:
     """What the gateway is told at its start."""
 
+    name: str
     listen: Address
     discovery: Address
     admin: Address | None
@@ -84,6 +87,7 @@
         document = json.loads(Path(environment["EDGE_CONFIG"]).read_text())
         door = environment.get("EDGE_ADMIN") or document.get("admin")
         return Config(
+            name=environment.get("EDGE_NAME") or document["name"],
             listen=_address(environment.get("EDGE_LISTEN") or document["listen"]),
             discovery=_address(environment.get("EDGE_DISCOVERY") or document["discovery"]),
             admin=_address(door) if door else None,
@@ -125,44 +129,6 @@
             asyncio.get_running_loop().call_later(READ_AGAIN_S[0], _reload, discovery, tries - 1)
 
 
-def _calls(driver: Driver, clients: Clients, roster: Roster) -> dict[str, admin.Handler]:
-    """What each call of the operators does: an event, and yes once the decisions have taken it over."""
-    gateway = driver.gateway
-
-    async def health(_: str) -> admin.Answer:
-        if not clients.ready:
-            return False, "the list of servers is not known yet"
-        return True, f"{'drained' if gateway.draining else 'serving'}, {len(gateway.by_hand)} servers out"
-
-    async def offline(name: str) -> admin.Answer:
-        number = roster.number(name)
-        if not number:
-            return False, "nobody has this id"
-        roster.pin(name)
-        driver.post(api.ServerByHand(number, True))
-        if number not in gateway.by_hand:
-            roster.unpin(name, number in gateway.servers)
-            return False, "too many servers are out"
-        return True, "out"
-
-    async def online(name: str) -> admin.Answer:
-        number = roster.number(name)
-        if not number:
-            return False, "nobody has this id"
-        driver.post(api.ServerByHand(number, False))
-        roster.unpin(name, number in gateway.servers)
-        return True, "back" if number in gateway.servers else "back, once discovery lists it"
-
-    def drain(active: bool) -> admin.Handler:
-        async def call(_: str) -> admin.Answer:
-            driver.post(api.Drain(active))
-            return gateway.draining == active, "drained" if active else "taking clients"
-        return call
-
-    return {"HEALTH": health, "OFFLINE": offline, "ONLINE": online, "LEAVE": drain(True),
-            "JOIN": drain(False)}
-
-
 async def serve(config: Config) -> None:
     """Serve until SIGTERM, then see to what was taken and return."""
     loop = asyncio.get_running_loop()
@@ -184,26 +150,39 @@
 
     discovery = Discovery(config.discovery, news)
     loop.add_signal_handler(signal.SIGHUP, _reload, discovery)
-    discovery.known(config.known)
-    watching = loop.create_task(discovery.run())
-    await clients.listen(*config.listen, _passed(dict(os.environ), config.listen))
-    loop.call_later(FIRST_LIST_S, lambda: setattr(clients, "ready", True))
-    door = admin.Door(_calls(driver, clients, discovery.roster))
+    who = {"name": config.name, "listen": f"{config.listen[0]}:{config.listen[1]}"}
+    handover = Handover(os.environ.get("TMPDIR"), who, driver, clients, servers, discovery)
+    operators = Operators(driver, clients, discovery.roster, handover)
+    door = admin.Door(operators.calls())
     if config.admin:
         await door.listen(*config.admin)
+    passed = _passed(dict(os.environ), config.listen)
+    if await handover.take():
+        clients.ready = True
+    else:
+        discovery.known(config.known)
+        loop.call_later(FIRST_LIST_S, lambda: setattr(clients, "ready", True))
+    watching = loop.create_task(discovery.run())
+    await clients.listen(*config.listen, passed or handover.take_listener())
+    handover.offer()
+    operators.up.set()
     log.info("listening")
     await stop.wait()
-    await _leave(config.settings, driver, clients)
+    await _leave(config.settings, driver, clients, handover)
+    handover.close()
     door.close()
     watching.cancel()
     servers.close()
 
 
-async def _leave(settings: api.Settings, driver: Driver, clients: Clients) -> None:
+async def _leave(
+    settings: api.Settings, driver: Driver, clients: Clients, handover: Handover | None = None,
+) -> None:
     """Serve on until shortly before the end, answer all that was taken, close; all before SIGKILL.
 
     Guards against requests that find no gateway: clients use the connections they have for as long as
-    those stay open, and whoever sends them here learns late that they would be better off elsewhere.
+    those stay open, and whoever sends them here learns late that they would be better off elsewhere. Where
+    the next process has taken over, the end comes as soon as nothing is in hand.
     """
     loop = asyncio.get_running_loop()
     longest_s = max(item.deadline_ms for item in settings.classes) / 1000.0
@@ -211,7 +190,10 @@
     end = loop.time() + span_s
     log.info("stopping")
     driver.post(api.Stopping(span_s * 1000.0))
-    await asyncio.sleep(max(0.0, span_s - LAST_S))
+    while loop.time() < end - LAST_S:
+        if handover and handover.handed and not clients.connections and not driver.calls:
+            break
+        await asyncio.sleep(0.01)
     clients.stop_listening()
     while clients.connections and loop.time() < end:
         await asyncio.sleep(0.01)
--- a/brackenloft/interface.py
+++ b/brackenloft/interface.py
@@ -317,6 +317,27 @@
     active: bool
 
 
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """The next process takes over: what is in hand here is reserved there, and its ends are told."""
+
+
+@dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """What the process before this one still holds of a customer, and has charged since it handed over."""
+
+    plan: str
+    customer: str
+    in_hand: int
+    charged: float = 0.0
+    used_percent: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class OtherGone:
+    """The other process of this gateway has ended: it holds nothing, and takes nothing."""
+
+
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
     """Bytes from another gateway."""
@@ -338,6 +359,7 @@
 Event = (
     ServerList | Request | Outcome | StreamStarted | ClientGone | TimerFired
     | ProbeResult | PeerMessage | CounterReply | Stopping | ServerByHand | Drain
+    | HandOver | Elsewhere | OtherGone
 )
 
 
@@ -452,5 +474,5 @@
 
 Action = (
     Send | Refuse | Fail | Cancel | SetTimer | Log | Subscribe | FetchList | Probe | CloseIdle
-    | TellPeer | CounterAdd | SetUsable | Admit
+    | TellPeer | CounterAdd | SetUsable | Admit | Elsewhere
 )
--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -24,11 +24,14 @@
     DiscoveryMode,
     Drain,
     Effect,
+    Elsewhere,
     Event,
     Fail,
+    HandOver,
     KeyScope,
     ListKind,
     Log,
+    OtherGone,
     Outcome,
     Plan,
     ProbeResult,
@@ -110,9 +113,11 @@
     """What this gateway knows of one customer: its excess, its late metered use, what it has out."""
 
     __slots__ = ("excess", "touched", "largest", "width", "used", "used_at", "out", "ceiling", "ceiling_at",
-                 "asked", "asked_at")
+                 "asked", "asked_at", "key", "elsewhere")
 
-    def __init__(self, now: float, ceiling: float) -> None:
+    def __init__(self, key: tuple[str, str], now: float, ceiling: float) -> None:
+        self.key = key
+        self.elsewhere = 0  # in hand in the process before this one: places under the in-flight cap
         self.excess, self.touched, self.largest, self.width = 0.0, now, 0.0, 1
         self.used, self.used_at = 0.0, -inf
         self.asked, self.asked_at = 0.0, now  # an excess that counts what was refused as well
@@ -190,6 +195,7 @@
         self.sends = 0
         self.by_hand: set[int] = set()  # servers that an operator took out, listed or not
         self.drains = 0  # how many times the drain began or ended: timers of an older one do nothing
+        self.handed = False  # the next process has taken over
         self.draining = self.left = False  # whether a drain is on, and whether its last step has come
         self.ready: list[Server] = []
         self.cold: list[Server] = []
@@ -202,6 +208,7 @@
             ServerList: self._on_list, ClientGone: self._on_gone, StreamStarted: self._on_stream,
             ProbeResult: self._on_probe, Stopping: self._on_stopping,
             ServerByHand: self._on_hand, Drain: self._on_drain,
+            HandOver: self._on_hand_over, Elsewhere: self._on_elsewhere, OtherGone: self._on_other_gone,
         }
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
@@ -222,7 +229,7 @@
         key = (request.plan, request.customer)
         customer = self.customers.pop(key, None)
         if customer is None:
-            customer = Customer(self.now, self._fresh_ceiling(plan, request.width))
+            customer = Customer(key, self.now, self._fresh_ceiling(plan, request.width))
         customer.width = min(request.width, self.settings.gateways)
         customer.largest = max(customer.largest, request.units)
         self.customers[key] = customer
@@ -237,7 +244,8 @@
             idle = self.now - max(old.touched, old.used_at)
             drained = old.excess <= plan.rate / old.width * idle
             full = self._ceiling_level(old, plan) >= self._fresh_ceiling(plan, old.width)
-            if old.out or not drained or not full or idle < NEWS_PERIODS * self.settings.meter_period_ms:
+            busy = old.out or old.elsewhere
+            if busy or not drained or not full or idle < NEWS_PERIODS * self.settings.meter_period_ms:
                 return
             if len(self.customers) > 1:
                 del self.customers[key]
@@ -338,7 +346,12 @@
         the customer for hours.
         """
         true = min(true, max(guess, self.settings.largest_units))
-        customer.excess = max(0.0, customer.excess + THOUSANDTHS * (true - guess))
+        self._charge(customer, true - guess)
+
+    def _charge(self, customer: Customer, units: float) -> None:
+        customer.excess = max(0.0, customer.excess + THOUSANDTHS * units)
+        if self.handed:
+            self._tell_next(customer, units)
 
     # ---- Quota guards
 
@@ -347,6 +360,9 @@
         cap = flight.plan.max_in_flight
         return max(1, int(cap * self._share(flight.customer))) if cap else inf
 
+    def _capped(self, flight: Flight) -> bool:
+        return flight.customer.out + flight.customer.elsewhere >= self._in_flight_cap(flight)
+
     def _fresh_ceiling(self, plan: Plan, width: int) -> float:
         """The ceiling's share of a customer not seen since the start: unknown history starts at nought."""
         return min(plan.ceiling_burst, plan.ceiling_rate * (self.now - self.started_at) / 1000.0) / width
@@ -578,6 +594,8 @@
         self._report(server, event.load)
         if event.used_percent is not None:
             flight.customer.used, flight.customer.used_at = event.used_percent / 100.0, self.now
+            if self.handed:
+                self._tell_next(flight.customer, 0.0, event.used_percent)
         if event.status is Status.OK:
             self._learn(server, flight.kind, event.latency_ms)
             if event.final_units is not None and not flight.closed:
@@ -633,6 +651,8 @@
             self.parked.pop(flight.request.request_id, None)
             if not flight.out:
                 self.flights.pop(flight.request.request_id, None)
+            if self.handed:
+                self._tell_next(flight.customer, 0.0)
 
     def _on_gone(self, event: ClientGone) -> None:
         flight = self.flights.get(event.request_id)
@@ -711,7 +731,7 @@
             return
         server = self.servers.get(event.server)
         if event.out:
-            if server is None or len(self.by_hand) >= MOST_OUT:
+            if len(self.by_hand) >= MOST_OUT:
                 return
             self.by_hand.add(event.server)
         else:
@@ -723,7 +743,6 @@
                 server.owed_at = self.now + OWED_MS
             server.ready = server.listed and not event.out
         self.actions.append(SetUsable(event.server, not event.out))
-        self._log(f"server {event.server} {'taken out' if event.out else 'put back'} by hand")
         self._relist()
         self._retry_parked()
 
@@ -745,6 +764,50 @@
             self.left = linger == 0.0
             self.actions.append(Admit(False, linger))
 
+    # ---- Upgrades: this process and the next one are one gateway
+
+    def in_hand(self, customer: Customer) -> int:
+        """Places under the in-flight cap that a customer's requests here hold, or will."""
+        mine = (flight for flight in self.flights.values() if flight.customer is customer)
+        return sum(max(len(flight.out), 0 if flight.closed else 1) for flight in mine)
+
+    def reserved_units(self) -> dict[tuple[str, str], float]:
+        """Units still to be drawn from ceilings here: they are off the next process's from the start.
+
+        Guards against a ceiling that is drawn twice: each process may draw what its copy holds.
+        """
+        units: dict[tuple[str, str], float] = {}
+        for flight in self.flights.values():
+            if not flight.closed and not flight.sends:
+                key = flight.customer.key
+                units[key] = units.get(key, 0.0) + flight.request.units
+        return units
+
+    def _on_hand_over(self, _: HandOver) -> None:
+        self.handed = True
+        self._log(f"handed over with {len(self.flights)} requests in hand")
+
+    def _tell_next(self, customer: Customer, charged: float, used: float | None = None) -> None:
+        plan, name = customer.key
+        self.actions.append(Elsewhere(plan, name, self.in_hand(customer), charged, used))
+
+    def _on_elsewhere(self, event: Elsewhere) -> None:
+        customer = self.customers.get((event.plan, event.customer))
+        if customer is None:
+            return
+        customer.elsewhere = event.in_hand
+        customer.excess = max(0.0, customer.excess + THOUSANDTHS * event.charged)
+        if event.used_percent is not None:
+            customer.used, customer.used_at = event.used_percent / 100.0, self.now
+        self._retry_parked()
+
+    def _on_other_gone(self, _: OtherGone) -> None:
+        """The process before this one has ended, or the next one has: then this one goes on alone."""
+        self.handed = False
+        for customer in self.customers.values():
+            customer.elsewhere = 0
+        self._retry_parked()
+
     # ---- Dispatch
 
     def _on_request(self, event: Request) -> None:
@@ -775,6 +838,8 @@
             self.actions.append(Refuse(event.request_id, self._advice(customer, plan, event.units)))
             return
         self.flights[event.request_id] = flight
+        if self.handed:
+            self._tell_next(customer, event.units)
         self._limit(flight)
         if hold > 0.0:
             flight.waiting = True
@@ -794,7 +859,7 @@
         if wait >= flight.deadline - self.now:
             self._answer(flight, "ceiling")
             return
-        capped = flight.customer.out >= self._in_flight_cap(flight)
+        capped = self._capped(flight)
         server = None if wait or capped else self._choose(flight)
         if server:
             self.parked.pop(request_id, None)
@@ -824,7 +889,7 @@
 
     def _end_park(self, flight: Flight) -> None:
         if flight.sends == 0 and any(server.ready for server in self.servers.values()):
-            capped = flight.customer.out >= self._in_flight_cap(flight)
+            capped = self._capped(flight)
             short = self._ceiling_wait(flight) > 0.0
             self._answer(flight, "waited: cap" if capped else "waited: ceiling" if short else "waited: pool")
 
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -144,7 +144,8 @@
         self.out_of_bounds = False  # what came behind what the parser has is no command
         self.transport: asyncio.Transport | None = None
         self.ending = self.stuck = self.paused = self.reading = False
-        self.idle_since = clients.loop.time()
+        self.made = self.idle_since = clients.loop.time()
+        self.grace_s = WHOLE_S
         self.bad = 0  # commands in a row that were answered with an error
         self.asked = False  # a request has come: clients keep such connections between their requests
         self.stall: asyncio.TimerHandle | None = None
@@ -153,7 +154,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are not asyncio.Transport by class: no isinstance here
         self.transport = cast(asyncio.Transport, transport)
-        self._await_command()
+        if not self.asked:
+            self._await_command()
         self.clients.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -216,7 +218,8 @@
 
     def _await_command(self) -> None:
         """Guards against peers that send nothing, half a command or one PING, and would stay for good."""
-        self.overdue = self.clients.loop.call_later(WHOLE_S, self._not_whole)
+        self.overdue = self.clients.loop.call_later(self.grace_s, self._not_whole)
+        self.grace_s = WHOLE_S
 
     def _command_came(self) -> None:
         if self.overdue:
@@ -305,9 +308,25 @@
         """
         if self.transport and not self.slots and (self.ending or self.clients.leaving):
             self.transport.close()
+        elif self.clients.pass_on:
+            self.clients.try_to_pass(self)
         elif self.clients.linger_s < inf and self.asked and not self.lengths.within():
             self.close_idle()
 
+    def between_requests(self) -> bool:
+        """Whether nothing of a command has come, and nothing of an answer is left."""
+        transport = self.transport
+        return (transport is not None and not transport.is_closing() and not self.slots and not self.ending
+                and not self.lengths.within() and not self.out_of_bounds
+                and transport.get_write_buffer_size() == 0)
+
+    def detach(self) -> None:
+        """Let go of the socket, which another process has by now."""
+        self.clients.closed(self)
+        if self.transport:
+            self.transport.pause_reading()
+            self.transport.abort()
+
     def close_idle(self) -> None:
         """Close unless something is owed on it."""
         if self.transport and not self.slots:
@@ -345,13 +364,42 @@
         self.serving, self.linger_s = True, inf  # as the decisions want it
         self.sweeper: asyncio.TimerHandle | None = None
         self.server: asyncio.Server | None = None
+        self.listener: socket.socket | None = None
+        self.elsewhere = 0  # connections that the process before this one still holds
+        self.pass_on: Callable[[Client, int], bool] | None = None  # to the next process, if it takes over
 
     async def listen(self, host: str, port: int, passed: socket.socket | None = None) -> None:
         """Listen on this address only, or on the socket that was passed on and listens there."""
-        if passed:
-            self.server = await self.loop.create_server(lambda: Client(self), sock=passed, backlog=BACKLOG)
-        else:
-            self.server = await self.loop.create_server(lambda: Client(self), host, port, backlog=BACKLOG)
+        self.listener = passed or socket.create_server((host, port), backlog=BACKLOG)
+        await self.accept()
+
+    async def accept(self) -> None:
+        """Accept, on a copy of the listener: when that is closed, the listener's queue goes on filling."""
+        if self.listener and not self.server:
+            self.server = await self.loop.create_server(
+                lambda: Client(self), sock=self.listener.dup(), backlog=BACKLOG)
+
+    def stop_accepting(self) -> None:
+        """Leave what comes to another process, or to later."""
+        if self.server:
+            self.server.close()
+            self.server = None
+
+    async def adopt(self, sock: socket.socket, asked: bool, waited_s: float) -> None:
+        """Take a connection from the process before this one."""
+        client = Client(self)
+        client.asked, client.grace_s = asked, max(0.0, WHOLE_S - waited_s)
+        try:
+            await self.loop.connect_accepted_socket(lambda: client, sock)
+        except OSError:
+            sock.close()
+
+    def try_to_pass(self, client: Client) -> None:
+        """Pass a connection on to the next process, if it is between requests."""
+        if self.pass_on and client.transport and client.between_requests():
+            copy = client.transport.get_extra_info("socket")
+            if self.pass_on(client, copy.fileno()):
+                client.detach()
 
     def pong(self) -> bytes:
         """The front takes in a gateway that says PONG: not before it knows whom to send to."""
@@ -382,7 +430,7 @@
         Guards against running out of descriptors, which would hit connections to servers too.
         """
         self.connections[client] = None
-        if len(self.connections) <= self.most_connections:
+        if len(self.connections) + self.elsewhere <= self.most_connections:
             return
         idle = next((one for one in self.connections if one is not client and not one.slots), client)
         assert idle.transport
@@ -398,8 +446,10 @@
 
     def stop_listening(self) -> None:
         """Accept no more, and close each connection once nothing is owed on it."""
-        if self.server:
-            self.server.close()
+        self.stop_accepting()
+        if self.listener:
+            self.listener.close()
+            self.listener = None
         self.leaving = True
         for client in list(self.connections):
             client.flush()
--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -34,12 +34,23 @@
         self.numbers: dict[str, int] = {}
         self.unused = count(1)  # never used again: an attempt on a server that is gone may still be out
         self.generation: int | None = None
+        self.rows: dict[str, Any] = {}  # as listed last
         self.pinned: set[str] = set()  # ids that keep their number, listed or not
 
     def pin(self, name: str) -> None:
         """Keep an id's number, whatever is listed."""
         self.pinned.add(name)
 
+    def assign(self, name: str) -> int:
+        """An id's number, a new one if it has none."""
+        if name not in self.numbers:
+            self.numbers[name] = next(self.unused)
+        return self.numbers[name]
+
+    def document(self) -> dict[str, Any]:
+        """The list as it stands, in discovery's form."""
+        return {"generation": self.generation or 0, "reset": True, "instances": list(self.rows.values())}
+
     def number(self, name: str) -> int:
         """An id's number; 0 for one that nobody has."""
         return self.numbers.get(name, 0)
@@ -62,7 +73,11 @@
         if full:
             listed = {row["instanceId"] for row in document["instances"]} | self.pinned
             self.numbers = {name: number for name, number in self.numbers.items() if name in listed}
+            self.rows.clear()
         for row in document["instances"]:
+            self.rows[row["instanceId"]] = row
+            if row["lifecycle"] == "Gone":
+                del self.rows[row["instanceId"]]
             if row["lifecycle"] == "Gone" and row["instanceId"] not in self.pinned:
                 self.numbers.pop(row["instanceId"], None)
         self.generation = generation
@@ -72,9 +87,7 @@
     def _entry(self, row: dict[str, Any]) -> tuple[api.ServerEntry, Address]:
         host, _, port = row["hostPort"].rpartition(":")
         name = row["instanceId"]
-        number = self.numbers.get(name)
-        if number is None:
-            number = self.numbers[name] = next(self.unused)
+        number = self.assign(name)
         entry = api.ServerEntry(
             server=number, zone=row["zone"], kind=row.get("machineType", ""), cell=row.get("cell", 0),
             state=STATES[row["lifecycle"]], size=row.get("weight", 1.0),
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -59,6 +59,7 @@
         self.order = count()
         self.alarm: tuple[float, asyncio.TimerHandle] | None = None
         self.loop = asyncio.get_running_loop()
+        self.on_elsewhere: Callable[[api.Elsewhere], None] = lambda _: None  # set by who hands over
         self.on_admit: Callable[[api.Admit], None] = lambda _: None  # set by who holds the clients
         self.actions: dict[type, Callable[[Any], None]] = {
             api.Send: self._send, api.Refuse: self._refuse, api.Fail: self._fail, api.Cancel: self._cancel,
@@ -66,6 +67,7 @@
             api.CloseIdle: lambda action: servers.close_idle(action.server),
             api.SetUsable: lambda action: servers.hold(action.server, not action.usable),
             api.Admit: lambda action: self.on_admit(action),
+            api.Elsewhere: lambda action: self.on_elsewhere(action),
         }
 
     # ---- Events in
--- /dev/null
+++ b/brackenloft/net/handover.py
@@ -0,0 +1,497 @@
+"""From one process of a gateway to the next: state, listener and idle connections, over a Unix socket.
+
+Messages are whole (SOCK_SEQPACKET): a letter and what it carries, some with a descriptor.
+
+  new to old   H who asks    T take over now
+  old to new   H who answers    S a piece of the state    E its end (length, checksum; the listener)
+               C a client's connection    V a server's    F what is still held of a customer, or in all
+  both         O what operators want    A the other has taken that over
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import os
+import socket
+import struct
+import zlib
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+from brackenloft import interface as api
+from brackenloft import state
+from brackenloft.net.clients import Client, Clients
+from brackenloft.net.discovery import Discovery
+from brackenloft.net.driver import Driver
+from brackenloft.net.servers import Connection, Servers
+
+log = logging.getLogger(__name__)
+
+VERSION = 1
+SOCKET, KEPT = "gateway.sock", "operators.json"
+LONGEST_PATH = 100  # bytes: what a Unix socket's address holds, less a margin
+PIECE = 32 * 1024  # bytes of the state in a message
+MOST = 64 * 1024  # bytes of a message
+MOST_STATE = 16 * 1024 * 1024
+MOST_QUEUED = 8192  # messages that the other process has not taken yet
+HELLO_S = 1.0  # for the old process to answer: one that hangs must not keep the new one from starting
+TAKE_S = 3.0  # for the whole state: the platform expects a new process to serve within 6 s
+SHARE_S = 0.5  # for the other process to take over what an operator said
+LEFT_S = 0.02  # between two looks at what is still held: connections that could not be passed on yet
+TURN = 64  # messages read in a turn of the loop
+
+
+class Link:
+    """A connection between two processes of one gateway; whatever breaks it ends it."""
+
+    def __init__(self, sock: socket.socket, on_message: Callable[[Link, bytes, list[int]], None],
+                 on_end: Callable[[Link], None]) -> None:
+        self.sock, self.on_message, self.on_end = sock, on_message, on_end
+        self.loop = asyncio.get_running_loop()
+        self.queue: deque[tuple[bytes, int]] = deque()  # with a descriptor, or -1
+        self.open = True
+        sock.setblocking(False)
+        self.loop.add_reader(sock.fileno(), self._readable)
+
+    def send(self, data: bytes, descriptor: int = -1) -> None:
+        """Send, or queue; the descriptor is copied."""
+        if not self.open:
+            return
+        if len(self.queue) >= MOST_QUEUED:
+            self.end("the other process takes nothing")
+            return
+        self.queue.append((data, os.dup(descriptor) if descriptor >= 0 else -1))
+        self._writable()
+
+    def _writable(self) -> None:
+        while self.open and self.queue:
+            data, descriptor = self.queue[0]
+            try:
+                socket.send_fds(self.sock, [data], [descriptor] if descriptor >= 0 else [])
+            except BlockingIOError:
+                self.loop.add_writer(self.sock.fileno(), self._writable)
+                return
+            except OSError as error:
+                self.end(repr(error))
+                return
+            self.queue.popleft()
+            if descriptor >= 0:
+                os.close(descriptor)
+        if self.open:
+            self.loop.remove_writer(self.sock.fileno())
+
+    def _readable(self) -> None:
+        for _ in range(TURN):
+            if not self.open:
+                return
+            try:
+                data, descriptors, flags, _ = socket.recv_fds(self.sock, MOST, 4)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self.end(repr(error))
+                return
+            if not data or flags & (socket.MSG_TRUNC | socket.MSG_CTRUNC):
+                _close_all(descriptors)
+                self.end("closed" if not data else "a message too long")
+                return
+            try:
+                self.on_message(self, data, descriptors)
+            except (ValueError, KeyError, TypeError, AttributeError) as error:
+                self.end(f"a message that is none: {error!r}")
+
+    def end(self, why: str) -> None:
+        """End it; nothing if it has ended."""
+        if not self.open:
+            return
+        self.open = False
+        log.info("the link to the other process ended: %s", why)
+        self.loop.remove_reader(self.sock.fileno())
+        self.loop.remove_writer(self.sock.fileno())
+        self.sock.close()
+        _close_all([descriptor for _, descriptor in self.queue if descriptor >= 0])
+        self.queue.clear()
+        self.on_end(self)
+
+
+def _close_all(descriptors: list[int]) -> None:
+    for descriptor in descriptors:
+        with suppress(OSError):
+            os.close(descriptor)
+
+
+class Handover:
+    """Both ends of it: taking over from the process before this one, handing over to the next."""
+
+    def __init__(self, folder: str | None, who: dict[str, Any], driver: Driver, clients: Clients,
+                 servers: Servers, discovery: Discovery) -> None:
+        self.folder = Path(folder) if folder else None
+        self.who = {"version": VERSION, **who}
+        self.driver, self.clients, self.servers, self.discovery = driver, clients, servers, discovery
+        self.loop = asyncio.get_running_loop()
+        self.link: Link | None = None  # to the old process, or to the next one
+        self.handed = False  # the next process has taken over
+        self.listener: socket.socket | None = None  # as the old process passed it on
+        self.offered: socket.socket | None = None
+        self.answered = asyncio.Event()  # the old process has said who it is
+        self.whole = asyncio.Event()  # the end of the state has come
+        self.pieces: list[bytes] = []
+        self.loaded = False
+        self.held = (-1, -1)  # connections, as last reported
+        self.place = -1  # the folder's descriptor, where its path is too long
+        self.asked = 0  # number of the last thing shared with the other process
+        self.agreed = asyncio.Event()
+        self.tasks: set[asyncio.Task[None]] = set()
+        driver.on_elsewhere = self._tell
+
+    # ---- Addresses
+
+    def _address(self, name: str) -> str:
+        """A path that fits into a socket's address, however long the folder's is."""
+        assert self.folder
+        path = str(self.folder / name)
+        if len(os.fsencode(path)) <= LONGEST_PATH:
+            return path
+        if self.place < 0:
+            self.place = os.open(self.folder, os.O_PATH | os.O_DIRECTORY)
+        return f"/proc/self/fd/{self.place}/{name}"
+
+    # ---- The new process
+
+    async def take(self) -> bool:
+        """Take over from a process that serves; false for a plain start, whatever the reason."""
+        if self.folder is None:
+            return False
+        kept: dict[str, Any] = {}
+        try:
+            if not self._connect():
+                self._forget()
+                return False
+            kept = self._read_kept()
+            assert self.link
+            async with asyncio.timeout(HELLO_S):
+                self._say("H", self.who)
+                await self.answered.wait()
+            async with asyncio.timeout(TAKE_S):
+                self.link.send(b"T")
+                await self.whole.wait()
+            if not self.loaded:
+                raise ConnectionError("the process before broke off")
+            wanted = self.wanted()
+            log.info("taken over from the process before; out: %s%s", ", ".join(wanted["out"]) or "no server",
+                     "; drained" if wanted["drained"] else "")
+            return True
+        except (OSError, TimeoutError, ValueError, KeyError, TypeError, AttributeError) as error:
+            log.error("nothing taken over: %r", error)
+            if self.link:
+                self.link.end("nothing taken over")
+            if kept and not self.driver.gateway.by_hand:
+                self._want(kept)
+            return False
+        finally:
+            self.pieces.clear()
+
+    def _connect(self) -> bool:
+        """Whether a process listens that is this user's; a path without one is left by a dead one."""
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        sock.setblocking(False)
+        try:
+            sock.connect(self._address(SOCKET))
+        except OSError:
+            sock.close()
+            return False
+        _, user, _ = struct.unpack("3i", sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, 12))
+        if user != os.getuid():
+            sock.close()
+            return False
+        self.link = Link(sock, self._message, self._ended)
+        return True
+
+    def _load(self, end: Any) -> None:
+        """At once as the end comes: what comes behind it, connections, relies on it."""
+        raw = b"".join(self.pieces)
+        if len(raw) != end["bytes"] or zlib.crc32(raw) != end["crc"]:
+            raise ValueError("the state is torn")
+        document = json.loads(raw)
+        self.discovery.known(document["list"])
+        state.load(self.driver.gateway, document["decisions"], self.discovery.roster.numbers)
+        self._want(document["operators"])
+        self._take_counts(document)
+        self.loaded = True
+        self.whole.set()
+
+    def _take_counts(self, document: dict[str, Any]) -> None:
+        self.clients.elsewhere, self.servers.elsewhere = int(document["clients"]), int(document["servers"])
+
+    def take_listener(self) -> socket.socket | None:
+        """The listener that the old process passed on, to whoever asks first."""
+        listener, self.listener = self.listener, None
+        return listener
+
+    # ---- The old process
+
+    def offer(self) -> None:
+        """Listen for the next process. Without a folder there will be none to hand over to."""
+        if self.folder is None:
+            return
+        try:
+            fresh = f"{SOCKET}.{os.getpid()}"
+            with suppress(FileNotFoundError):
+                (self.folder / fresh).unlink()
+            self.offered = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+            self.offered.setblocking(False)
+            self.offered.bind(self._address(fresh))
+            self.offered.listen(4)
+            os.replace(self.folder / fresh, self.folder / SOCKET)
+            self.loop.add_reader(self.offered.fileno(), self._accept)
+            self.keep()
+        except OSError as error:
+            log.error("no upgrade without a break: %r", error)
+
+    def _accept(self) -> None:
+        assert self.offered
+        try:
+            sock, _ = self.offered.accept()
+        except OSError:
+            return
+        if self.link:  # one at a time: this one starts plainly
+            sock.close()
+            return
+        self.link = Link(sock, self._message, self._ended)
+
+    def _give(self) -> None:
+        """The one step: what is idle goes, what is in hand stays and is reserved, all else is told."""
+        assert self.link
+        self.handed = True
+        self.clients.stop_accepting()
+        self.driver.post(api.HandOver())
+        roster = self.discovery.roster
+        names = {number: name for name, number in roster.numbers.items()}
+        raw = json.dumps({
+            "list": roster.document(), "decisions": state.save(self.driver.gateway, names),
+            "operators": self.wanted(), **self._counts(),
+        }).encode()
+        for at in range(0, len(raw), PIECE):
+            self.link.send(b"S" + raw[at:at + PIECE])
+        listener = self.clients.listener
+        end = b"E" + json.dumps({"bytes": len(raw), "crc": zlib.crc32(raw)}).encode()
+        self.link.send(end, listener.fileno() if listener else -1)
+        self.servers.pass_on = self._pass_server
+        self.servers.hand_over()
+        self.clients.pass_on = self._pass_client
+        self._sweep()
+
+    def _sweep(self) -> None:
+        """Pass on what could not go before, and tell how much is left."""
+        if not self.handed or not self.link:
+            return
+        for client in list(self.clients.connections):
+            self.clients.try_to_pass(client)
+        counts = self._counts()
+        if tuple(counts.values()) != self.held:
+            self.held = (counts["clients"], counts["servers"])
+            self._say("F", counts)
+        self.loop.call_later(LEFT_S, self._sweep)
+
+    def _counts(self) -> dict[str, int]:
+        return {"clients": len(self.clients.connections), "servers": len(self.servers.connections)}
+
+    def _pass_client(self, client: Client, descriptor: int) -> bool:
+        if not self.link or not self.link.open:
+            return False
+        about = {"asked": client.asked, "waited": self.loop.time() - client.made}
+        self.link.send(b"C" + json.dumps(about).encode(), descriptor)
+        return True
+
+    def _pass_server(self, connection: Connection, descriptor: int) -> bool:
+        roster = self.discovery.roster
+        name = next((name for name, number in roster.numbers.items() if number == connection.host.number), "")
+        if not self.link or not self.link.open or not name:
+            return False
+        self.link.send(b"V" + name.encode(), descriptor)
+        return True
+
+    def _tell(self, news: api.Elsewhere) -> None:
+        if self.handed:
+            self._say("F", {
+                "plan": news.plan, "customer": news.customer, "in_hand": news.in_hand,
+                "charged": news.charged, "used": news.used_percent})
+
+    # ---- Messages
+
+    def _say(self, letter: str, document: Any) -> None:
+        if self.link:
+            self.link.send(letter.encode() + json.dumps(document).encode())
+
+    def _message(self, link: Link, data: bytes, descriptors: list[int]) -> None:
+        letter, rest = data[:1], data[1:]
+        try:
+            if letter == b"T":
+                if not self.answered.is_set() or self.handed:
+                    raise ValueError("out of turn")
+                self._give()
+            elif letter == b"S":
+                self.pieces.append(rest)
+                if len(self.pieces) * PIECE > MOST_STATE:
+                    raise ValueError("a state without end")
+            elif letter in (b"C", b"V") and len(descriptors) == 1:
+                self._adopt(letter, rest, socket.socket(fileno=descriptors.pop()))
+            else:
+                self._document(link, letter, json.loads(rest), descriptors)
+        finally:
+            _close_all(descriptors)
+
+    def _document(self, link: Link, letter: bytes, document: Any, descriptors: list[int]) -> None:
+        if letter == b"H":
+            if document != self.who:
+                raise ValueError("another gateway, or another version")
+            if not self.answered.is_set() and self.offered:
+                self._say("H", self.who)
+            self.answered.set()
+        elif letter == b"E":
+            if descriptors:
+                self.listener = socket.socket(fileno=descriptors.pop())
+            self._load(document)
+        elif letter == b"F":
+            self._news(document)
+        elif letter == b"O":
+            self._want(document["operators"])
+            self.keep()
+            self._say("A", document["number"])
+        elif letter == b"A":
+            if document == self.asked:
+                self.agreed.set()
+        else:
+            raise ValueError(f"no such message: {letter!r}")
+
+    def _news(self, document: Any) -> None:
+        if "plan" not in document:
+            self._take_counts(document)
+            return
+        used = document["used"]
+        self.driver.post(api.Elsewhere(
+            document["plan"], document["customer"], int(document["in_hand"]),
+            float(document["charged"]), None if used is None else float(used)))
+
+    def _adopt(self, letter: bytes, rest: bytes, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        if letter == b"C":
+            about = json.loads(rest)
+            coming = self.clients.adopt(sock, bool(about["asked"]), float(about["waited"]))
+        else:
+            coming = self.servers.adopt(self.discovery.roster.number(rest.decode()), sock)
+        task = self.loop.create_task(coming)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def _ended(self, link: Link) -> None:
+        """The other process is gone: this one is the gateway now, or again."""
+        if link is not self.link:
+            return
+        self.link = None
+        self.answered.set()  # who waits for more, waits no longer
+        self.whole.set()
+        self.answered.clear()
+        self.clients.elsewhere = self.servers.elsewhere = 0
+        self.clients.pass_on, self.servers.pass_on = None, None
+        was_handed, self.handed = self.handed, False
+        self.driver.post(api.OtherGone())
+        if was_handed:
+            log.error("the next process has ended: this one accepts again")
+            task = self.loop.create_task(self._again())
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _again(self) -> None:
+        if not self.clients.leaving:
+            await self.clients.accept()
+            self.withdraw()
+            self.offer()
+
+    def withdraw(self) -> None:
+        """Offer no more; the path stays, as it may be the next process's by now."""
+        if self.offered:
+            self.loop.remove_reader(self.offered.fileno())
+            self.offered.close()
+            self.offered = None
+
+    # ---- What operators want
+
+    def wanted(self) -> dict[str, Any]:
+        """Servers out, by id, and whether the gateway is drained."""
+        gateway, roster = self.driver.gateway, self.discovery.roster
+        out = [name for name, number in roster.numbers.items() if number in gateway.by_hand]
+        return {"out": sorted(out), "drained": gateway.draining}
+
+    def _want(self, wanted: dict[str, Any]) -> None:
+        """Make the same true here."""
+        out, roster = {str(name) for name in wanted["out"]}, self.discovery.roster
+        before = set(self.wanted()["out"])
+        for name in sorted(out - before):
+            roster.pin(name)
+            self.driver.post(api.ServerByHand(roster.assign(name), True))
+        for name in sorted(before - out):
+            number = roster.number(name)
+            self.driver.post(api.ServerByHand(number, False))
+            roster.unpin(name, number in self.driver.gateway.servers)
+        self.driver.post(api.Drain(bool(wanted["drained"])))
+
+    async def share(self) -> None:
+        """Returns once what operators want is kept, and known to the other process if there is one."""
+        self.keep()
+        if not self.link or not self.answered.is_set():
+            return
+        self.asked += 1
+        self.agreed.clear()
+        self._say("O", {"number": self.asked, "operators": self.wanted()})
+        try:
+            async with asyncio.timeout(SHARE_S):
+                await self.agreed.wait()
+        except TimeoutError:
+            log.error("the other process did not confirm what operators want")
+
+    def keep(self) -> None:
+        """Write it down, whole or not at all."""
+        if self.folder is None:
+            return
+        try:
+            fresh = self.folder / f"{KEPT}.{os.getpid()}"
+            fresh.write_text(json.dumps({**self.who, "operators": self.wanted()}))
+            os.replace(fresh, self.folder / KEPT)
+        except OSError as error:
+            log.error("what operators want can't be kept: %r", error)
+
+    def _read_kept(self) -> dict[str, Any]:
+        assert self.folder
+        try:
+            document = json.loads((self.folder / KEPT).read_text())
+            wanted = dict(document.pop("operators"))
+            if document == self.who and isinstance(wanted["out"], list):
+                return {"out": wanted["out"], "drained": bool(wanted["drained"])}
+        except (OSError, ValueError, KeyError, TypeError, AttributeError):
+            pass
+        return {}
+
+    def _forget(self) -> None:
+        """Nobody serves: what is written there is of a process that is dead."""
+        assert self.folder
+        with suppress(OSError):
+            (self.folder / KEPT).unlink()
+
+    def close(self) -> None:
+        """At the end of the process."""
+        self.withdraw()
+        link, self.link = self.link, None
+        if link:
+            link.end("this process ends")
+        listener = self.take_listener()
+        if listener:
+            listener.close()
+        if self.place >= 0:
+            os.close(self.place)
+            self.place = -1
--- /dev/null
+++ b/brackenloft/net/operators.py
@@ -0,0 +1,83 @@
+"""What operators may call: each call is an event, and yes once the decisions have taken it over."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from brackenloft import interface as api
+from brackenloft.net.admin import Answer, Handler
+from brackenloft.net.clients import Clients
+from brackenloft.net.discovery import Roster
+from brackenloft.net.driver import Driver
+from brackenloft.net.handover import Handover
+
+log = logging.getLogger(__name__)
+
+NOBODY = (False, "nobody has this id")
+
+
+class Operators:
+    """The calls. They wait until this process serves: what the one before it knows would undo them."""
+
+    def __init__(self, driver: Driver, clients: Clients, roster: Roster, handover: Handover) -> None:
+        self.driver, self.clients, self.roster, self.handover = driver, clients, roster, handover
+        self.gateway = driver.gateway
+        self.up = asyncio.Event()
+
+    def calls(self) -> dict[str, Handler]:
+        """By name."""
+        return {"HEALTH": self.health, "OFFLINE": self.offline, "ONLINE": self.online,
+                "LEAVE": self.leave, "JOIN": self.join}
+
+    async def health(self, _: str) -> Answer:
+        """Whether this process can serve; it can while the gateway is drained, too."""
+        if self.handover.handed:
+            return False, "the next process has taken over"
+        if not self.up.is_set() or not self.clients.ready:
+            return False, "the list of servers is not known yet"
+        drained = "drained" if self.gateway.draining else "serving"
+        return True, f"{drained}, {len(self.gateway.by_hand)} servers out"
+
+    async def offline(self, name: str) -> Answer:
+        """Take a server out."""
+        await self.up.wait()
+        number = self.roster.number(name)
+        if not number:
+            return NOBODY
+        self.roster.pin(name)
+        self.driver.post(api.ServerByHand(number, True))
+        if number not in self.gateway.by_hand:
+            self.roster.unpin(name, number in self.gateway.servers)
+            return False, "too many servers are out"
+        await self.handover.share()
+        log.info("server %s is taken out by hand", name)
+        return True, "out"
+
+    async def online(self, name: str) -> Answer:
+        """Put a server back."""
+        await self.up.wait()
+        number = self.roster.number(name)
+        if not number:
+            return NOBODY
+        self.driver.post(api.ServerByHand(number, False))
+        listed = number in self.gateway.servers
+        self.roster.unpin(name, listed)
+        await self.handover.share()
+        log.info("server %s is put back by hand", name)
+        return True, "back" if listed else "back, once discovery lists it"
+
+    async def leave(self, _: str) -> Answer:
+        """Drain the gateway."""
+        await self._drain(True)
+        return True, "drained"
+
+    async def join(self, _: str) -> Answer:
+        """Take clients again."""
+        await self._drain(False)
+        return True, "taking clients"
+
+    async def _drain(self, active: bool) -> None:
+        await self.up.wait()
+        self.driver.post(api.Drain(active))
+        await self.handover.share()
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -113,9 +113,10 @@
 class Host:
     """A server as discovery last told it. Each change that makes old connections useless is an epoch."""
 
-    __slots__ = ("address", "started", "listed", "ready", "idle", "epoch")
+    __slots__ = ("number", "address", "started", "listed", "ready", "idle", "epoch")
 
-    def __init__(self) -> None:
+    def __init__(self, number: int) -> None:
+        self.number = number
         self.address: Address = ("", 0)
         self.started, self.epoch = 0.0, 0
         self.listed = self.ready = False  # ready: listed so, and not held
@@ -125,7 +126,7 @@
 class Connection(asyncio.Protocol):
     """One connection to a server: connecting, idle, or with one attempt out."""
 
-    def __init__(self, servers: Servers, host: Host, attempt: Attempt) -> None:
+    def __init__(self, servers: Servers, host: Host, attempt: Attempt | None) -> None:
         self.servers, self.host, self.epoch = servers, host, host.epoch
         self.attempt: Attempt | None = attempt
         self.transport: asyncio.Transport | None = None
@@ -136,7 +137,9 @@
         self.handed = False  # the attempt's last byte to the kernel
         self.idle_since, self.unread = 0.0, 0
         self.closed = False
-        attempt.connection = self
+        self.adopted = False  # it came up in the process before this one
+        if attempt:
+            attempt.connection = self
 
     # ---- Coming up
 
@@ -162,7 +165,9 @@
         self.transport = cast(asyncio.Transport, transport)
         # With a limit of 0 the loop tells when the last byte has gone to the kernel (resume_writing).
         self.transport.set_write_buffer_limits(0)
-        if self.closed or self.attempt is None:
+        if self.adopted:
+            self.servers.give_back(self)
+        elif self.closed or self.attempt is None:
             self.transport.abort()
         elif self.epoch != self.host.epoch or not self.host.ready:
             # Guards against a first byte to a server that began to drain, left or moved meanwhile.
@@ -253,6 +258,14 @@
             attempt.finish(Reply(status))
 
 
+    def detach(self) -> None:
+        """Let go of the socket, which another process has by now: it must not be shut down."""
+        self.closed = True
+        self.servers.forget(self)
+        if self.transport:
+            self.transport.abort()
+
+
 class Servers:
     """The servers of discovery's list and all connections to them, bounded over all."""
 
@@ -263,6 +276,8 @@
         self.readings = Readings(settings.load_fields)
         self.most_connections = most_connections
         self.hosts: dict[int, Host] = {}
+        self.elsewhere = 0  # connections that the process before this one still holds
+        self.pass_on: Callable[[Connection, int], bool] | None = None  # to the next process, if it takes over
         self.held: set[int] = set()  # not to be used whatever discovery lists
         self.connections: set[Connection] = set()
         self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
@@ -277,7 +292,7 @@
             if entry.state is api.ServerState.GONE:
                 self._remove(entry.server)
                 continue
-            host = self.hosts.setdefault(entry.server, Host())
+            host = self.hosts.setdefault(entry.server, Host(entry.server))
             address = addresses[entry.server]
             # Guards against an old connection to a server that restarted or whose address was replaced.
             fresh = host.address == address and host.started == entry.started_ms
@@ -321,7 +336,8 @@
         self._connect(host, attempt)
 
     def _connect(self, host: Host, attempt: Attempt) -> None:
-        if len(self.connections) >= self.most_connections and not self._evict():
+        full = len(self.connections) + self.elsewhere >= self.most_connections
+        if full and not self._evict():
             attempt.finish(Reply(api.Status.CONNECT_FAILED))
             return
         connection = Connection(self, host, attempt)
@@ -353,9 +369,40 @@
         if connection.closed or connection.epoch != connection.host.epoch:
             connection.close(api.Status.RESET)
             return
+        if self.pass_on:
+            self._pass(connection)
+            return
         connection.idle_since = self.loop.time()
         connection.host.idle.append(connection)
 
+    def hand_over(self) -> None:
+        """Pass on what is idle."""
+        for host in self.hosts.values():
+            for connection in list(host.idle):
+                self._pass(connection)
+
+    def _pass(self, connection: Connection) -> None:
+        assert connection.socket
+        if self.pass_on and connection.alive() and self.pass_on(connection, connection.socket.fileno()):
+            connection.detach()
+        else:
+            connection.close(api.Status.RESET)
+
+    async def adopt(self, server: int, sock: socket.socket) -> None:
+        """Take an idle connection of the process before this one."""
+        host = self.hosts.get(server)
+        if host is None or not host.ready or len(self.connections) + self.elsewhere >= self.most_connections:
+            sock.close()
+            return
+        connection = Connection(self, host, None)
+        connection.adopted, connection.socket = True, sock
+        self.connections.add(connection)
+        try:
+            await self.loop.create_connection(lambda: connection, sock=sock)
+        except OSError:
+            connection.close(api.Status.RESET)
+            sock.close()
+
     def forget(self, connection: Connection) -> None:
         """A connection that is closing counts no more."""
         self.connections.discard(connection)
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -11,6 +11,7 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+import pytest
 from fakes import SETTINGS as FAKE_SETTINGS
 from fakes import FakeDiscovery, FakeServer, Peer, array, call, chunk, listing, node, resp, row, run
 from test_adapter import ENV
@@ -109,9 +110,27 @@
     try:
         yield process, port, discovery
     finally:
-        if process.returncode is None:
-            process.kill()
-        await process.wait()
+        await end(process)
+
+
+async def end(process) -> None:
+    if process.returncode is None:
+        process.kill()
+    await process.wait()
+
+
+@asynccontextmanager
+async def next_process(tmp_path, port: int, discovery: FakeDiscovery, passed: socket.socket | None = None):
+    """A second process of the same gateway, and its own door."""
+    door = free_port()
+    env = {**os.environ, "EDGE_CONFIG": str(tmp_path / "config.json"), "EDGE_NAME": "n0", "EDGE_LISTEN":
+           f"127.0.0.1:{port}", "EDGE_DISCOVERY": f"127.0.0.1:{discovery.port}", "TMPDIR": str(tmp_path),
+           "EDGE_ADMIN": f"127.0.0.1:{door}"}
+    process = await start(tmp_path / "config.json", env, passed)
+    try:
+        yield process, door
+    finally:
+        await end(process)
 
 
 def test_starts_is_ready_once_it_has_a_list_and_serves(tmp_path):
@@ -240,3 +259,71 @@
             assert await peer.ask(resp("PING")) == b"PONG"
 
     run(test())
+
+
+@pytest.mark.parametrize("by_platform", [True, False])
+def test_upgrade_passes_connections_on_keeps_servers_out_and_ends_the_old_early(tmp_path, by_platform):
+    def slow(words):
+        return None if words[2].endswith(b"1") else array(b"v")
+
+    async def test():
+        one, two = await FakeServer(slow).start(), await FakeServer(slow).start()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            passed, door = listener if by_platform else None, free_port()
+            async with program(tmp_path, one, passed, EDGE_ADMIN=f"127.0.0.1:{door}") as (old, port, found):
+                _, watch = await found.watch()
+                watch.write(chunk(listing(2, row("s-1", one.port), row("s-2", two.port), reset=True)))
+                await healthy(door)
+                while not (await tell(door, "OFFLINE s-2")).startswith("YES"):
+                    await asyncio.sleep(0.01)
+                idle, busy = await connect(port), await connect(port)
+                assert await idle.ask(call(2)) == b"v"
+                busy.send(call(1, wait=60_000))
+                await one.until(lambda: len(one.commands) == 2)
+                two.commands.clear()
+                async with next_process(tmp_path, port, found, passed) as (new, new_door):
+                    await healthy(new_door)
+                    assert "1 servers out" in await tell(new_door, "HEALTH")
+                    assert (await tell(door, "HEALTH")).startswith("NO")
+                    assert await idle.ask(call(3)) == b"v"  # the connection is the new process's now
+                    assert await (await connect(port)).ask(call(4)) == b"v"
+                    # Called at the old door, it holds for the new process too.
+                    assert (await tell(door, "LEAVE")).startswith("YES")
+                    assert "drained" in await tell(new_door, "HEALTH")
+                    assert (await tell(door, "JOIN")).startswith("YES")
+                    number = next(n for n, w in zip(one.by, one.commands, strict=True) if w[2].endswith(b"1"))
+                    one.writers[number].write(array(b"late"))
+                    assert await busy.reply() == b"late"
+                    assert await busy.ask(call(5)) == b"v"
+                    old.send_signal(signal.SIGTERM)
+                    assert await old.wait() == 0
+                    assert await busy.ask(call(6)) == b"v" and await idle.ask(call(7)) == b"v"
+                    assert await (await connect(port)).ask(call(8)) == b"v"
+                    assert not two.commands
+                    assert (await tell(new_door, "ONLINE s-2")).startswith("YES")
+                    new.send_signal(signal.SIGTERM)
+                    assert await new.wait() == 0
+
+    run(test())
+
+
+def test_next_process_that_dies_leaves_the_old_one_serving(tmp_path):
+    async def test():
+        server, door = await FakeServer(lambda words: array(b"v")).start(), free_port()
+        async with program(tmp_path, server, EDGE_ADMIN=f"127.0.0.1:{door}") as (old, port, found):
+            await healthy(door)
+            async with next_process(tmp_path, port, found) as (_, new_door):
+                await healthy(new_door)
+                assert (await tell(new_door, "LEAVE")).startswith("YES")
+            await healthy(door)
+            assert "drained" in await tell(door, "HEALTH")
+            assert (await tell(door, "JOIN")).startswith("YES")
+            peer = await connect(port)
+            assert await peer.ask(call(2)) == b"v"
+            async with next_process(tmp_path, port, found) as (_, new_door):  # and another one may come
+                await healthy(new_door)
+                assert await peer.ask(call(3)) == b"v"
+                old.send_signal(signal.SIGTERM)
+                assert await old.wait() == 0
+
+    run(test())
