Pass long values on as they come, with back pressure from the slow side

Ruled out: servers that fail, and pressure: no outcome but these was an error, the pool stood at its top.

--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -478,7 +478,7 @@
         elif status in (Status.CONNECT_FAILED, Status.RESET):
             self._mark(server, whole, failed=True, why=status.value)
 
-    def _press(self, server: Server, kind: RequestClass, event: Outcome) -> None:
+    def _press(self, server: Server, kind: RequestClass, status: Status, latency_ms: float) -> None:
         """What may be out from here at all servers together, moved by every answer.
 
         Guards against any cause that makes servers slower than the aim: overload, neighbours, costly
@@ -487,13 +487,13 @@
         become slow, so that servers that hang don't stop the rest. Harm: few slow servers hold all back a
         little; where single requests take most of the aim by nature, it keeps too little out.
         """
-        if event.status is not Status.OK:
+        if status is not Status.OK:
             return
         known = self.quick[kind.name]
         known.pop(server.id, None)
-        if event.latency_ms > SLOW * kind.aim_ms:
+        if latency_ms > SLOW * kind.aim_ms:
             self.pool = max(LEAST_POOL, self.pool - POOL_CUT * min(1.0, self.pool))
-        elif event.latency_ms < QUICK * kind.aim_ms:
+        elif latency_ms < QUICK * kind.aim_ms:
             known[server.id] = server
             if len(known) > SAMPLE:
                 del known[next(iter(known))]
@@ -590,14 +590,16 @@
         self.young.discard((event.request_id, event.attempt))
         flight.customer.out -= 1
         self._judge(flight, server, event.status)
-        self._press(server, flight.kind, event)
+        if not flight.streaming:
+            self._press(server, flight.kind, event.status, event.latency_ms)
         self._report(server, event.load)
         if event.used_percent is not None:
             flight.customer.used, flight.customer.used_at = event.used_percent / 100.0, self.now
             if self.handed:
                 self._tell_next(flight.customer, 0.0, event.used_percent)
         if event.status is Status.OK:
-            self._learn(server, flight.kind, event.latency_ms)
+            if not flight.streaming:
+                self._learn(server, flight.kind, event.latency_ms)
             if event.final_units is not None and not flight.closed:
                 self._settle(flight.customer, flight.request.units, event.final_units)
         if event.closed or event.status is Status.OK:
@@ -663,9 +665,16 @@
             self._drop_if_done(flight)
 
     def _on_stream(self, event: StreamStarted) -> None:
+        """The server has done its work: what the rest takes is the client's pace, and tells nothing of it."""
         flight = self.flights.get(event.request_id)
-        if flight:
-            flight.streaming = True
+        if flight is None or flight.streaming or event.attempt not in flight.out:
+            return
+        flight.streaming = True
+        server, _ = flight.out[event.attempt]
+        self.young.discard((event.request_id, event.attempt))
+        self._press(server, flight.kind, Status.OK, event.latency_ms)
+        self._learn(server, flight.kind, event.latency_ms)
+        self._retry_parked()
 
     def _on_probe(self, event: ProbeResult) -> None:
         server = self.servers.get(event.server)
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -15,11 +15,15 @@
 from brackenloft import interface as api
 from brackenloft.net.driver import CLIENT_MARGIN_MS, Call, Driver
 from brackenloft.net.lengths import Lengths
+from brackenloft.net.servers import Source
 
 log = logging.getLogger(__name__)
 
 MOST_PIPELINED = 64  # commands of one connection in hand; what comes behind waits in the kernel
-LONGEST_COMMAND = 512 * 1024  # bytes read without a whole command: a body, and one read of the loop
+READ = 64 * 1024  # bytes read at once
+LONGEST_COMMAND = 192 * 1024  # bytes read without a whole command: a body, one read, and to spare
+MOST_UNSENT = 8 * 1024 * 1024  # bytes of answers that clients have not taken, over all of them
+BODY_ROUNDS = 3  # times that a body may go on for as long as a command may, while its bytes come
 LONGEST_WORD = 64 * 1024  # bytes: what the protocol allows a value
 STALLED_S = 15.0  # a client that takes no byte of its answers for so long is gone
 WHOLE_S = 2.5  # until a first request, and for the rest of a command: a peer is owed a close within 3 s
@@ -121,18 +125,61 @@
 class Slot:
     """The place of a command's reply in the order of its connection."""
 
-    __slots__ = ("connection", "answer", "request_id")
+    __slots__ = ("connection", "answer", "request_id", "value")
 
     def __init__(self, connection: Client, answer: bytes | None = None, request_id: str = "") -> None:
         self.connection, self.answer, self.request_id = connection, answer, request_id
+        self.value: Value | None = None
 
     def fill(self, answer: bytes) -> None:
         """The command's one answer."""
         self.answer = answer
+        self.connection.unsent(len(answer))
         self.connection.flush()
 
+    def begin(self, length: int, source: Source) -> Value | None:
+        """The command's one answer begins, and comes in pieces."""
+        if self.connection.transport is None:
+            return None
+        self.value = Value(self.connection, length, source)
+        self.connection.flush()
+        return self.value
+
+
+class Value:
+    """A long value on its way to a client. Its source rests until it is its turn, and while the client does.
+
+    Guards against a value that piles up here: one read of its source is held at most.
+    """
+
+    def __init__(self, connection: Client, length: int, source: Source) -> None:
+        self.connection, self.source = connection, source
+        self.held = b"$%d\r\n" % length
+        self.ended = self.whole = False
+
+    def write(self, data: bytes) -> None:
+        """The next piece; nothing is kept for a client that has gone."""
+        if self.connection.transport is None:
+            return
+        self.held += data
+        self.connection.flush()
+        if self.held or self.connection.stuck:
+            self.source.pause()
+
+    def end(self, whole: bool) -> None:
+        """All has come, or no more will."""
+        self.ended, self.whole = True, whole
+        if whole:
+            self.held += b"\r\n"
+        self.connection.flush()
+
+    def take(self) -> bytes:
+        """What may be written now."""
+        held, self.held = self.held, b""
+        return held
+
 
-class Client(asyncio.Protocol):
+class Client(asyncio.BufferedProtocol):
     """One client's connection."""
 
     def __init__(self, clients: Clients) -> None:
@@ -146,6 +193,8 @@
         self.ending = self.stuck = self.paused = self.reading = False
         self.made = self.idle_since = clients.loop.time()
         self.grace_s = WHOLE_S
+        self.moved, self.rounds = False, 0  # since the command's time began: bytes came; its further rounds
+        self.unsent_bytes = self.stalled_at = 0
         self.bad = 0  # commands in a row that were answered with an error
         self.asked = False  # a request has come: clients keep such connections between their requests
         self.stall: asyncio.TimerHandle | None = None
@@ -165,17 +214,27 @@
         self._command_came()
         self.clients.closed(self)
         slots, self.slots = self.slots, deque()
+        self.unsent(-self.unsent_bytes)
         for slot in slots:
             if slot.answer is None:
                 self.clients.driver.client_gone(slot.request_id)
 
     # ---- Commands in
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Where the next read goes: one room for all, as each read is taken over at once."""
+        return self.clients.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(bytes(self.clients.buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
+        """Bytes of commands."""
         if self.ending or self.out_of_bounds:
             return
         self.clients.connections.move_to_end(self)  # the last to be pushed out
         self.idle_since = self.clients.loop.time()
+        self.moved = True
         good = self.lengths.good(data)
         self.out_of_bounds = good < len(data)
         self.reader.feed(data[:good] if self.out_of_bounds else data)
@@ -219,9 +278,10 @@
     def _await_command(self) -> None:
         """Guards against peers that send nothing, half a command or one PING, and would stay for good."""
         self.overdue = self.clients.loop.call_later(self.grace_s, self._not_whole)
-        self.grace_s = WHOLE_S
+        self.grace_s, self.moved = WHOLE_S, False
 
     def _command_came(self) -> None:
+        self.rounds = 0
         if self.overdue:
             self.overdue.cancel()
             self.overdue = None
@@ -230,6 +290,9 @@
         self.overdue = None
         if self.paused:  # whole commands may wait behind those in hand: it is not the peer that is late
             self._await_command()
+        elif self.moved and self.asked and self.lengths.in_last_word() and self.rounds < BODY_ROUNDS:
+            self.rounds += 1  # the head has come in time, and the body is on its way
+            self._await_command()
         elif not self.ending:
             self.ending = True
             if self.lengths.within():
@@ -266,7 +329,8 @@
         self.asked, self.bad = True, 0
         slot = Slot(self, None, request.request_id)
         self.slots.append(slot)
-        driver.request(Call(request.request_id, encode, slot.fill), request, request.patience_ms)
+        made = Call(request.request_id, encode, slot.fill, slot.begin)
+        driver.request(made, request, request.patience_ms)
 
     def _refuse(self, answer: bytes) -> None:
         """Answer a bad command; the connection lives on, but not for an endless row of them.
@@ -281,6 +345,7 @@
 
     def _reply(self, answer: bytes) -> None:
         self.slots.append(Slot(self, answer))
+        self.unsent(len(answer))
         self.flush()
 
     def flush(self) -> None:
@@ -288,18 +353,49 @@
         if self.transport is None:
             return
         while self.slots and not self.stuck:
-            answer = self.slots[0].answer
-            if answer is None:
+            slot = self.slots[0]
+            if slot.value:
+                if not self._pass_on(slot.value):
+                    break
+            elif slot.answer is None:
                 break
+            else:
+                self.unsent(-len(slot.answer))
+                self.transport.write(slot.answer)
             self.slots.popleft()
             self.idle_since = self.clients.loop.time()
-            self.transport.write(answer)
+            if self.transport.is_closing():
+                return
         if self.reading:
             return
         if self.paused:
             self._read()
         self._leave_if_done()
 
+    def _pass_on(self, value: Value) -> bool:
+        """Write what is there of a long value; whether that was all of it.
+
+        One that broke off ends the connection: nothing else tells the client that it is not whole.
+        """
+        assert self.transport
+        self.transport.set_write_buffer_limits(0)  # stuck as soon as the client does not take all
+        held = value.take()
+        if held:
+            self.transport.write(held)
+        if not value.ended:
+            if not self.stuck:
+                value.source.resume()
+            return False
+        if not value.whole:
+            self.ending = True
+            self.transport.close()
+        return True
+
+    def unsent(self, more: int) -> None:
+        """Count what the client is owed and has not been written; see ``Clients.unsent``."""
+        self.unsent_bytes += more
+        self.clients.unsent(more)
+
     def _leave_if_done(self) -> None:
         """Close between requests, when it is time to.
 
@@ -339,7 +435,7 @@
         """
         self.stuck = True
         self._throttle()
-        self.stall = self.clients.loop.call_later(STALLED_S, self._stalled)
+        self._watch()
 
     def resume_writing(self) -> None:
         self.stuck = False
@@ -347,8 +443,16 @@
             self.stall.cancel()
         self.flush()
 
+    def _watch(self) -> None:
+        assert self.transport
+        self.stalled_at = self.transport.get_write_buffer_size()
+        self.stall = self.clients.loop.call_later(STALLED_S, self._stalled)
+
     def _stalled(self) -> None:
-        if self.transport:
+        """A client that has taken something meanwhile is slow; one that has not is gone."""
+        if self.transport and self.transport.get_write_buffer_size() < self.stalled_at:
+            self._watch()
+        elif self.transport:
             self.transport.abort()
 
 
@@ -365,6 +469,8 @@
         self.sweeper: asyncio.TimerHandle | None = None
         self.server: asyncio.Server | None = None
         self.listener: socket.socket | None = None
+        self.buffer = memoryview(bytearray(READ))
+        self.unsent_bytes = 0
         self.elsewhere = 0  # connections that the process before this one still holds
         self.pass_on: Callable[[Client, int], bool] | None = None  # to the next process, if it takes over
 
@@ -440,6 +546,18 @@
             idle.transport.write(b"-ERR max number of clients reached\r\n")
         idle.transport.close()
 
+    def unsent(self, more: int) -> None:
+        """Count answers that wait to be written; beyond the limit who holds most of them goes.
+
+        Guards against clients that write many requests and read no answer: each holds a little, all hold
+        more than there is.
+        """
+        self.unsent_bytes += more
+        if more > 0 and self.unsent_bytes > MOST_UNSENT:
+            most = max(self.connections, key=lambda client: client.unsent_bytes, default=None)
+            if most and most.transport:
+                most.transport.abort()
+
     def closed(self, client: Client) -> None:
         """A connection has ended."""
         self.connections.pop(client, None)
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -14,7 +14,7 @@
 
 from brackenloft import interface as api
 from brackenloft.logic import Gateway
-from brackenloft.net.servers import Attempt, Reply, Servers
+from brackenloft.net.servers import Attempt, Reply, Servers, Sink, Source
 
 log = logging.getLogger(__name__)
 
@@ -37,12 +37,15 @@
 class Call:
     """A client's request in hand, until it has been answered and no attempt is out."""
 
-    __slots__ = ("request_id", "encode", "on_answer", "deadline", "sends", "out", "answered")
+    __slots__ = ("request_id", "encode", "on_answer", "on_value", "deadline", "sends", "out", "answered",
+                 "passing")
 
     def __init__(
         self, request_id: str, encode: Callable[[float], bytes], on_answer: Callable[[bytes], None],
+        on_value: Callable[[int, Source], Sink | None] = lambda length, source: None,
     ) -> None:
-        self.request_id, self.encode, self.on_answer = request_id, encode, on_answer
+        self.request_id, self.encode, self.on_answer, self.on_value = request_id, encode, on_answer, on_value
+        self.passing: Attempt | None = None  # whose long value is the answer, from its first bytes on
         self.deadline, self.sends, self.answered = 0.0, 0, False
         self.out: dict[int, Attempt] = {}
 
@@ -114,7 +117,7 @@
     def client_gone(self, request_id: str) -> None:
         """The client closed its connection: nothing more is owed."""
         call = self.calls.get(request_id)
-        if call and not call.answered:
+        if call and (call.passing or not call.answered):
             call.answered = True
             self.post(api.ClientGone(request_id))
             self._drop_if_done(call)
@@ -139,14 +142,31 @@
             call.out.pop(number, None)
             self._outcome(call, number, action.server, now, reply)
 
-        attempt = Attempt(call.encode(wait), done)
+        def begun(length: int, source: Source) -> Sink | None:
+            return self._begin(call, number, action.server, now, length, source)
+
+        attempt = Attempt(call.encode(wait), done, begun)
         call.out[number] = attempt
         self.servers.start(action.server, attempt)
         if number in call.out:
-            self._at(now + wait, self._time_out, attempt)
-
-    def _time_out(self, attempt: Attempt) -> None:
-        self.servers.stop(attempt, api.Status.TIMEOUT)
+            self._at(now + wait, self._time_out, (call, attempt))
+
+    def _time_out(self, which: tuple[Call, Attempt]) -> None:
+        call, attempt = which
+        if call.passing is not attempt:  # a long value that has begun is given for as long as it comes
+            self.servers.stop(attempt, api.Status.TIMEOUT)
+
+    def _begin(
+        self, call: Call, number: int, server: int, sent: float, length: int, source: Source,
+    ) -> Sink | None:
+        """A long value begins: it is the answer from now on, if the client still waits for one."""
+        if call.answered:
+            return None
+        sink = call.on_value(length, source)
+        if sink:
+            call.answered, call.passing = True, call.out[number]
+            self.post(api.StreamStarted(call.request_id, number, server, self.clock() - sent))
+        return sink
 
     def _outcome(self, call: Call, number: int, server: int, sent: float, reply: Reply) -> None:
         """The outcome of an attempt; a good answer goes to the client first, if it still waits."""
--- a/brackenloft/net/lengths.py
+++ b/brackenloft/net/lengths.py
@@ -2,11 +2,33 @@
 
 from __future__ import annotations
 
+import re
+
+LONG = 64 * 1024  # bytes: a value that is longer is passed on as it comes
+LONGEST_VALUE = 4 * 1024 * 1024  # bytes
 MOST_WORDS = 64  # of an array: a request has five, what a library says at its start a few more
 LONGEST_HEADER = 16  # bytes of the line that declares a length
 LINES = b"+-:"  # what begins a line that holds a value itself
 
 
+HEAD = re.compile(rb"\*([1-9][0-9]?)\r\n\$([0-9]{1,7})\r\n")
+PART = re.compile(rb"(\*([1-9][0-9]?(\r(\n(\$([0-9]{1,7}\r?)?)?)?)?)?)?")
+
+
+def long_value(head: bytes) -> tuple[int, int, int] | None:
+    """The words of an answer that begins with a long value, the value's length and where it begins.
+
+    Zeros where it begins with something else; None while that can't be told yet.
+    """
+    match = HEAD.match(head)
+    if match:
+        words, length = int(match[1]), int(match[2])
+        if words <= MOST_WORDS and LONG < length <= LONGEST_VALUE:
+            return words, length, match.end()
+        return 0, 0, 0
+    return None if PART.fullmatch(head) else (0, 0, 0)
+
+
 class Lengths:
     """Follows the lengths that a peer declares, ahead of the parser.
 
@@ -44,6 +66,10 @@
                 self.header = b""
         return size
 
+    def in_last_word(self) -> bool:
+        """Whether the rest of the last word is all that is missing."""
+        return bool(self.skip) and not self.words
+
     def within(self) -> bool:
         """Whether what has come ends within a command or an answer."""
         return bool(self.words or self.skip or self.header or self.in_line)
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -13,18 +13,22 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from math import inf
-from typing import cast
+from typing import Protocol, cast
 
 import hiredis
 
 from brackenloft import interface as api
-from brackenloft.net.lengths import Lengths
+from brackenloft.net.lengths import LONG, Lengths, long_value
 from brackenloft.settings import REPORT_FIELD
 
 log = logging.getLogger(__name__)
 
 IDLE_SHARE = 0.4  # of the servers' idle limit after which a connection is retired: well before they do
-LONGEST_ANSWER = 1024 * 1024  # bytes without a whole answer: a value of 64 KiB and much to spare
+LONGEST_ANSWER = 192 * 1024  # bytes without a whole answer: a value of 64 KiB, one read, and to spare
+READ = 64 * 1024  # bytes read at once
+LEAST_READ = 4 * 1024
+MOST_HELD = 8 * 1024 * 1024  # bytes of long values on their way, over all
+SILENT_S = 15.0  # a server that gives nothing of a value that it has begun for so long is gone
 SWEEP_S = 1.0  # between two looks at idle connections
 Address = tuple[str, int]
 
@@ -44,13 +48,37 @@
     load: tuple[float, ...] | None = None
 
 
+class Sink(Protocol):
+    """Where a long value goes."""
+
+    def write(self, data: bytes) -> None:
+        """The next piece."""
+
+    def end(self, whole: bool) -> None:
+        """No more comes."""
+
+
+class Source(Protocol):
+    """Where a long value comes from."""
+
+    def pause(self) -> None:
+        """Give nothing until ``resume``."""
+
+    def resume(self) -> None:
+        """Give more."""
+
+
 class Attempt:
-    """A command on its way to a server; ``done`` is called once with what came of it."""
+    """A command on its way to a server; ``done`` is called once with what came of it.
+
+    ``begun`` is called when a long value begins, with its length; it says where that goes, if anywhere.
+    """
 
-    __slots__ = ("payload", "done", "connection")
+    __slots__ = ("payload", "done", "begun", "connection")
 
-    def __init__(self, payload: bytes, done: Callable[[Reply], None]) -> None:
-        self.payload = payload
+    def __init__(self, payload: bytes, done: Callable[[Reply], None],
+                 begun: Callable[[int, Source], Sink | None] = lambda length, source: None) -> None:
+        self.payload, self.begun = payload, begun
         self.done: Callable[[Reply], None] | None = done
         self.connection: Connection | None = None
 
@@ -123,7 +151,7 @@
         self.idle: list[Connection] = []  # the most recently used last
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One connection to a server: connecting, idle, or with one attempt out."""
 
     def __init__(self, servers: Servers, host: Host, attempt: Attempt | None) -> None:
@@ -133,7 +161,12 @@
         self.socket: socket.socket | None = None
         self.task: asyncio.Task[None] | None = None
         self.reader = hiredis.Reader(replyError=ServerError)
-        self.lengths = Lengths(LONGEST_ANSWER, answers=True)
+        self.lengths = Lengths(LONG, answers=True)
+        self.head = b""  # of an answer, until it can be told whether a long value comes
+        self.known = False  # it has been told
+        self.sink: Sink | None = None  # where the long value goes whose rest is awaited
+        self.words, self.left = 0, 0  # of the answer it begins; and its bytes to come, with its line's end
+        self.silent: asyncio.TimerHandle | None = None
         self.handed = False  # the attempt's last byte to the kernel
         self.idle_since, self.unread = 0.0, 0
         self.closed = False
@@ -191,7 +224,87 @@
     def resume_writing(self) -> None:
         self.handed = True
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Where the next read goes: one room for all, as each read is taken over at once."""
+        return self.servers.room()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(bytes(self.servers.buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
+        """Bytes of an answer."""
+        if self.sink:
+            self._pass_on(data)
+            return
+        if self.attempt and not self.known:
+            self.head += data
+            found = long_value(self.head)
+            if found is None:
+                return
+            data, self.head, self.known = self.head, b"", True
+            words, length, begins = found
+            if words:
+                self._begin(words, length, data[begins:])
+                return
+        self._parse(data)
+
+    # ---- A long value
+
+    def _begin(self, words: int, length: int, data: bytes) -> None:
+        assert self.attempt
+        sink = self.attempt.begun(length, self)
+        if sink is None:
+            self.close(api.Status.CANCELLED)  # nobody waits for it: not worth its bytes
+            return
+        if self.closed:
+            sink.end(False)
+            return
+        self.sink, self.words, self.left = sink, words, length + 2
+        self.servers.passing += 1
+        if data:
+            self._pass_on(data)
+        else:
+            self._heard()
+
+    def _pass_on(self, data: bytes) -> None:
+        assert self.sink
+        self._heard()
+        piece, rest = data[:self.left], data[self.left:]
+        value = piece[:max(0, self.left - 2)]
+        self.left -= len(piece)
+        if value:
+            self.sink.write(value)
+        if self.sink and not self.left:
+            self._end_value(True)
+            self._parse(b"*%d\r\n$0\r\n\r\n" % self.words + rest)
+
+    def _end_value(self, whole: bool) -> None:
+        sink, self.sink = self.sink, None
+        if sink:
+            self.servers.passing -= 1
+            self.resume()  # the figures on use may still come
+            sink.end(whole)
+
+    def _heard(self) -> None:
+        """Guards against a server that begins a value and gives no more: no deadline ends that."""
+        if self.silent:
+            self.silent.cancel()
+        self.silent = self.servers.loop.call_later(SILENT_S, self.close, api.Status.RESET)
+
+    def pause(self) -> None:
+        """The client takes no more for now."""
+        if self.transport and not self.closed and self.transport.is_reading():
+            self.transport.pause_reading()
+            if self.silent:
+                self.silent.cancel()
+
+    def resume(self) -> None:
+        """The client takes more."""
+        if self.transport and not self.closed and not self.transport.is_reading():
+            self.transport.resume_reading()
+            self._heard()
+
+    def _parse(self, data: bytes) -> None:
         good = self.lengths.good(data)
         self.reader.feed(data[:good])
         self.unread += len(data)
@@ -206,7 +319,9 @@
             return
         if answer is False and self.attempt and self.unread <= LONGEST_ANSWER:
             return
-        self.unread = 0
+        self.unread, self.known = 0, False
+        if self.silent:
+            self.silent.cancel()
         attempt, self.attempt = self.attempt, None
         if attempt is None or more or answer is False:
             self.close(api.Status.RESET)  # bytes that answer nothing: what follows can't be told apart
@@ -246,6 +361,9 @@
         attempt, self.attempt = self.attempt, None
         if not self.closed:
             self.closed = True
+            if self.silent:
+                self.silent.cancel()
+            self._end_value(False)
             self.servers.forget(self)
             if self.socket is None and self.task:
                 self.task.cancel()
@@ -280,6 +398,8 @@
         self.pass_on: Callable[[Connection, int], bool] | None = None  # to the next process, if it takes over
         self.held: set[int] = set()  # not to be used whatever discovery lists
         self.connections: set[Connection] = set()
+        self.buffer = memoryview(bytearray(READ))
+        self.passing = 0  # long values on their way
         self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
     def update(self, news: api.ServerList, addresses: Mapping[int, Address]) -> None:
@@ -302,6 +422,11 @@
             if not (fresh and host.ready):
                 self._renew(host)
 
+    def room(self) -> memoryview:
+        """Room for one read: less for each when many long values are held by clients that are slow."""
+        size = max(LEAST_READ, min(READ, MOST_HELD // max(1, self.passing)))
+        return self.buffer[:size]
+
     def hold(self, server: int, held: bool) -> None:
         """Use no connection to a server any more, or use it again; what is out there goes on."""
         (self.held.add if held else self.held.discard)(server)
