--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -73,7 +73,9 @@
 SPREAD = 0.1  # share of a cost drawn at random, so that gateways with the same reports do not choose alike
 
 # Pressure: how much may be out from here at all servers together, found by what answers show
-FIRST_LIMIT = 6.0  # attempts out at a server, over all gateways, before anything is known of it
+FIRST_LIMIT = 2.0  # attempts out at a server, over all gateways, until quick answers prove more
+FIRST_HERE = 2.0  # attempts out from here at first, at least: one that waits must not stop all the others,
+HERD_LIMIT = 6.0  # but no more at a server than this over all gateways, however many they are
 POOL_GROWTH = 0.035  # attempts by which a quick answer lifts a pool that is used up: thirty lift it by one
 POOL_CUT = 0.3  # attempts that a slow answer takes off: one slow answer in ten holds the pool level
 LEAST_POOL = 0.3  # attempts out, a share of requests below one: the pool must see answers to recover
@@ -695,7 +697,8 @@
             self._take_entry(entry)
         self._relist()
         if event.kind is ListKind.CACHED:
-            self.pool = FIRST_LIMIT * len(self.servers) / self.settings.gateways
+            share = len(self.servers) / self.settings.gateways
+            self.pool = max(FIRST_LIMIT * share, min(FIRST_HERE, HERD_LIMIT * share))
         self._retry_parked()
 
     def _relist(self) -> None:
--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import random
 from collections.abc import Callable
 from contextlib import suppress
 from itertools import count
@@ -18,7 +19,7 @@
 log = logging.getLogger(__name__)
 
 SILENT_S = 4.5  # an empty line comes every 2 s: two are missing. News counts as told after 6 s in any case
-BACKOFF_S = (0.05, 1.0)  # before another watch, first and at most
+BACKOFF_S = (0.05, 2.0)  # before another watch, first and at most, of which half is drawn at random
 CONNECT_S = 1.0
 LONGEST_LINE = 4 * 1024 * 1024
 STATES = {
@@ -178,8 +179,9 @@
 class Discovery:
     """Keeps a watch open for as long as the gateway runs."""
 
-    def __init__(self, address: Address, news: News) -> None:
+    def __init__(self, address: Address, news: News, seed: int = 0) -> None:
         self.address, self.news = address, news
+        self.random = random.Random(seed)
         self.roster = Roster()
         self.backoff_s = BACKOFF_S[0]
         self.watch: Watch | None = None
@@ -229,10 +231,14 @@
                 log.warning("discovery can't be reached: %r", error)
             self.watch = None
             with suppress(TimeoutError):
-                await asyncio.wait_for(self.moved.wait(), self.backoff_s)
+                await asyncio.wait_for(self.moved.wait(), self.pause_s())
                 continue
             self.backoff_s = min(BACKOFF_S[1], self.backoff_s * 2.0)
 
+    def pause_s(self) -> float:
+        """Before another watch. Guards against gateways that lost theirs at once and come back at once."""
+        return self.backoff_s * (1.0 - 0.5 * self.random.random())
+
     def _watch(self) -> Watch:
         generation = self.roster.generation
         return Watch(self, "/discovery/hosts?watch=1" + ("" if generation is None else f"&from={generation}"))
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -69,6 +69,7 @@
             api.SetTimer: self._set_timer, api.Log: lambda action: log.info("%s", action.text),
             api.CloseIdle: lambda action: servers.close_idle(action.server),
             api.SetUsable: lambda action: servers.hold(action.server, not action.usable),
+            api.Subscribe: lambda _: None,  # the watch on discovery is kept in any case
             api.Admit: lambda action: self.on_admit(action),
             api.Elsewhere: lambda action: self.on_elsewhere(action),
         }
--- /dev/null
+++ b/tests/test_herd.py
@@ -0,0 +1,67 @@
+"""Many gateways with few requests each, which start at once: first pools, watches that come back."""
+
+from dataclasses import replace
+
+from conftest import SETTINGS, Rig, entry
+from fakes import SETTINGS as NET_SETTINGS
+from fakes import node, run
+
+from brackenloft import DiscoveryMode, Limits, ListKind
+from brackenloft.net.discovery import BACKOFF_S, Discovery
+
+GATEWAYS, SERVERS = 14, 24
+
+
+def herd() -> list[Rig]:
+    settings = replace(SETTINGS, gateways=GATEWAYS, limits=Limits(max_attempts=1))
+    rigs = [Rig(replace(settings, index=number), seed=number) for number in range(GATEWAYS)]
+    for rig in rigs:
+        rig.servers(*(entry(number) for number in range(1, SERVERS + 1)), kind=ListKind.CACHED)
+    return rigs
+
+
+def out(rig: Rig) -> int:
+    return sum(len(server.out) for server in rig.gateway.servers.values())
+
+
+def test_gateways_that_start_at_once_put_little_out_before_anything_is_known():
+    rigs = herd()
+    for rig in rigs:
+        for _ in range(60):
+            rig.ask()
+    assert SERVERS <= sum(out(rig) for rig in rigs) <= 3 * SERVERS
+
+
+def test_quick_answers_prove_that_more_may_be_out():
+    rig = herd()[0]
+    first = rig.gateway.pool
+    for _ in range(400):
+        name = rig.ask()
+        for name in [name for name in rig.sent if name not in rig.answers][:1]:
+            rig.finish(name, latency=20.0)
+        while out(rig) < int(rig.gateway.pool):
+            rig.ask()
+    assert rig.gateway.pool > 2.0 * first
+
+
+def test_watches_that_were_lost_at_once_come_back_apart_and_none_at_once():
+    pauses = set()
+    for seed in range(50):
+        discovery = Discovery(("127.0.0.1", 1), lambda *_: None, seed)
+        discovery.backoff_s = BACKOFF_S[1]
+        pauses.add(discovery.pause_s())
+    assert len(pauses) == 50 and min(pauses) >= BACKOFF_S[1] / 2 and max(pauses) <= BACKOFF_S[1]
+    assert max(pauses) - min(pauses) > BACKOFF_S[1] / 4
+
+
+def test_list_that_must_be_asked_for_is_no_error_as_the_watch_is_kept(caplog):
+    async def test():
+        async with node(**{"discovery": DiscoveryMode.ASK}) as gateway:
+            gateway.told(kind=ListKind.CACHED)
+            gateway.driver._at(0.0, lambda _: None, None)
+            while gateway.driver.timers:
+                gateway.driver._fire()
+        assert not caplog.records
+
+    assert NET_SETTINGS.discovery is DiscoveryMode.PUSH
+    run(test())
