Count connections that come along once, and end only when all passed on is taken

Found by reading: a process that handed over many connections had them counted at both ends, which would have pushed out idle clients near the limit; one that ended at once could have closed what was still queued.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -191,7 +191,7 @@
     log.info("stopping")
     driver.post(api.Stopping(span_s * 1000.0))
     while loop.time() < end - LAST_S:
-        if handover and handover.handed and not clients.connections and not driver.calls:
+        if handover and handover.done() and not clients.connections and not driver.calls:
             break
         await asyncio.sleep(0.01)
     clients.stop_listening()
--- a/brackenloft/net/handover.py
+++ b/brackenloft/net/handover.py
@@ -263,6 +263,16 @@
             sock.close()
             return
         self.link = Link(sock, self._message, self._ended)
+        self.loop.call_later(HELLO_S + TAKE_S, self._not_taken, self.link)
+
+    def _not_taken(self, link: Link) -> None:
+        """Guards against a process that asks and hangs: it must not keep the next one out."""
+        if link is self.link and not self.handed:
+            link.end("it did not take over in time")
+
+    def done(self) -> bool:
+        """Whether the next process has taken over, and has all that was passed on."""
+        return self.handed and self.link is not None and not self.link.queue
 
     def _give(self) -> None:
         """The one step: what is idle goes, what is in hand stays and is reserved, all else is told."""
@@ -380,10 +390,13 @@
 
     def _adopt(self, letter: bytes, rest: bytes, sock: socket.socket) -> None:
         sock.setblocking(False)
+        # It was counted as the other process's: counting it twice would push out others for want of room.
         if letter == b"C":
             about = json.loads(rest)
+            self.clients.elsewhere = max(0, self.clients.elsewhere - 1)
             coming = self.clients.adopt(sock, bool(about["asked"]), float(about["waited"]))
         else:
+            self.servers.elsewhere = max(0, self.servers.elsewhere - 1)
             coming = self.servers.adopt(self.discovery.roster.number(rest.decode()), sock)
         task = self.loop.create_task(coming)
         self.tasks.add(task)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -331,3 +331,54 @@
         await until(lambda: len(os.listdir("/proc/self/fd")) <= len(before) + 1)
 
     run(test())
+
+
+def test_connections_that_come_along_are_counted_once(tmp_path, monkeypatch):
+    monkeypatch.setattr(module, "TURN", 2)  # so that some are adopted before the others have come
+
+    async def test():
+        server = await silent_on_one()
+        async with process(tmp_path, server) as old, process(tmp_path, most_connections=12) as new:
+            peers = [await old.peer() for _ in range(10)]
+            for number, peer in enumerate(peers, 2):
+                assert await peer.ask(call(number))
+            old.handover.offer()
+            assert await new.handover.take()
+            for number, peer in enumerate(peers, 20):
+                assert await peer.ask(call(number)) == b"%016x" % number
+            assert len(new.clients.connections) == 10
+
+    run(test())
+
+
+def test_process_that_asks_and_hangs_does_not_keep_the_next_one_out(tmp_path, monkeypatch):
+    monkeypatch.setattr(module, "HELLO_S", 0.1)
+    monkeypatch.setattr(module, "TAKE_S", 0.1)
+
+    async def test():
+        async with process(tmp_path) as old, process(tmp_path) as new:
+            old.handover.offer()
+            hung = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+            hung.connect(str(tmp_path / SOCKET))
+            await until(lambda: old.handover.link is not None)
+            await until(lambda: old.handover.link is None)
+            monkeypatch.setattr(module, "HELLO_S", 10.0)
+            monkeypatch.setattr(module, "TAKE_S", 10.0)
+            assert await new.handover.take()
+            hung.close()
+
+    run(test())
+
+
+def test_old_process_is_not_done_before_all_that_it_passes_on_is_taken(tmp_path):
+    async def test():
+        async with process(tmp_path) as old, process(tmp_path) as new:
+            old.handover.offer()
+            assert not old.handover.done()
+            assert await new.handover.take()
+            await until(old.handover.done)
+            old.handover.link.queue.append((b"F{}", -1))
+            assert not old.handover.done()
+            old.handover.link.queue.clear()
+
+    run(test())
