--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import socket
 from collections import OrderedDict, deque
@@ -29,6 +30,7 @@
 WHOLE_S = 2.5  # until a first request, and for the rest of a command: a peer is owed a close within 3 s
 MOST_BAD = 16  # bad commands in a row: who sends more is no client
 SWEEP_S = 0.1  # between two looks at idle connections while they are not wanted
+BIND_S = 10.0  # for the address to become free
 BACKLOG = 1024  # connections that wait to be accepted
 LAST_CUSTOMER = 1 << 33
 IDS = 64  # bytes of a request's id at most
@@ -476,9 +478,24 @@
 
     async def listen(self, host: str, port: int, passed: socket.socket | None = None) -> None:
         """Listen on this address only, or on the socket that was passed on and listens there."""
-        self.listener = passed or socket.create_server((host, port), backlog=BACKLOG)
+        self.listener = passed or await self._bind(host, port)
         await self.accept()
 
+    async def _bind(self, host: str, port: int) -> socket.socket:
+        """A listener of our own, as soon as the address is free.
+
+        Guards against a process before this one that could not hand over and still listens: it will be
+        stopped, and this one must be there then.
+        """
+        end = self.loop.time() + BIND_S
+        while True:
+            try:
+                return socket.create_server((host, port), backlog=BACKLOG)
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE or self.loop.time() >= end:
+                    raise
+            await asyncio.sleep(SWEEP_S)
+
     async def accept(self) -> None:
         """Accept, on a copy of the listener: when that is closed, the listener's queue goes on filling."""
         if self.listener and not self.server:
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -120,10 +120,11 @@
 
 
 @asynccontextmanager
-async def next_process(tmp_path, port: int, discovery: FakeDiscovery, passed: socket.socket | None = None):
+async def next_process(tmp_path, port: int, discovery: FakeDiscovery, passed: socket.socket | None = None,
+                       name: str = "n0"):
     """A second process of the same gateway, and its own door."""
     door = free_port()
-    env = {**os.environ, "EDGE_CONFIG": str(tmp_path / "config.json"), "EDGE_NAME": "n0", "EDGE_LISTEN":
+    env = {**os.environ, "EDGE_CONFIG": str(tmp_path / "config.json"), "EDGE_NAME": name, "EDGE_LISTEN":
            f"127.0.0.1:{port}", "EDGE_DISCOVERY": f"127.0.0.1:{discovery.port}", "TMPDIR": str(tmp_path),
            "EDGE_ADMIN": f"127.0.0.1:{door}"}
     process = await start(tmp_path / "config.json", env, passed)
@@ -327,3 +328,21 @@
                 assert await old.wait() == 0
 
     run(test())
+
+
+def test_next_process_that_nothing_is_handed_to_waits_for_the_address_and_serves_when_it_is_free(tmp_path):
+    async def test():
+        server, door = await FakeServer(lambda words: array(b"v")).start(), free_port()
+        async with program(tmp_path, server, EDGE_ADMIN=f"127.0.0.1:{door}") as (old, port, found):
+            await healthy(door)
+            async with next_process(tmp_path, port, found, name="other") as (new, new_door):
+                while not await tell(new_door, "HEALTH"):
+                    await asyncio.sleep(0.01)
+                assert (await tell(new_door, "HEALTH")).startswith("NO")
+                assert await (await connect(port)).ask(call(2)) == b"v"
+                old.send_signal(signal.SIGTERM)
+                assert await old.wait() == 0
+                await healthy(new_door)
+                assert await (await connect(port)).ask(call(3)) == b"v" and new.returncode is None
+
+    run(test())
