Back off from discovery by the number of gateways that share it

Lines at fault: BACKOFF_S, the same however many gateways call. Small fleets keep their 0.05 to 2 s. A watch that ends also writes one line, not two.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -148,7 +148,7 @@
         if listing.kind is not api.ListKind.CACHED:
             clients.ready = True
 
-    discovery = Discovery(config.discovery, news, config.seed)
+    discovery = Discovery(config.discovery, news, config.seed, config.settings.gateways)
     loop.add_signal_handler(signal.SIGHUP, _reload, discovery)
     who = {"name": config.name, "listen": f"{config.listen[0]}:{config.listen[1]}"}
     handover = Handover(os.environ.get("TMPDIR"), who, driver, clients, servers, discovery)
--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -20,6 +20,7 @@
 
 SILENT_S = 4.5  # an empty line comes every 2 s: two are missing. News counts as told after 6 s in any case
 BACKOFF_S = (0.05, 2.0)  # before another watch, first and at most, of which half is drawn at random
+SHARED_S = (0.05, 0.2)  # the same for each gateway: all of them share what discovery can answer
 CONNECT_S = 1.0
 LONGEST_LINE = 4 * 1024 * 1024
 STATES = {
@@ -128,7 +129,8 @@
         self.silent = loop.call_later(SILENT_S, self._close, "silent")
 
     def _close(self, why: str) -> None:
-        log.warning("the watch on discovery ended: %s", why)
+        if not self.ended:
+            log.warning("the watch on discovery ended: %s", why)
         self.ended = True
         if self.transport:
             self.transport.abort()
@@ -179,11 +181,12 @@
 class Discovery:
     """Keeps a watch open for as long as the gateway runs."""
 
-    def __init__(self, address: Address, news: News, seed: int = 0) -> None:
+    def __init__(self, address: Address, news: News, seed: int = 0, gateways: int = 1) -> None:
         self.address, self.news = address, news
+        self.shortest_s, self.longest_s = map(max, BACKOFF_S, (gateways * share for share in SHARED_S))
         self.random = random.Random(seed)
         self.roster = Roster()
-        self.backoff_s = BACKOFF_S[0]
+        self.backoff_s = self.shortest_s
         self.watch: Watch | None = None
         self.moved = asyncio.Event()  # to another address: what waits, waits no longer
 
@@ -192,7 +195,7 @@
         if address == self.address:
             return
         log.info("discovery moves to %s:%d", *address)
-        self.address, self.backoff_s = address, BACKOFF_S[0]
+        self.address, self.backoff_s = address, self.shortest_s
         self.moved.set()
         if self.watch:
             self.watch.end("moved")
@@ -213,7 +216,7 @@
             self.roster.generation = None
             watch.malformed()
             return
-        self.backoff_s = BACKOFF_S[0]
+        self.backoff_s = self.shortest_s
         self.news(*news)
 
     async def run(self) -> None:
@@ -233,10 +236,14 @@
             with suppress(TimeoutError):
                 await asyncio.wait_for(self.moved.wait(), self.pause_s())
                 continue
-            self.backoff_s = min(BACKOFF_S[1], self.backoff_s * 2.0)
+            self.backoff_s = min(self.longest_s, self.backoff_s * 2.0)
 
     def pause_s(self) -> float:
-        """Before another watch. Guards against gateways that lost theirs at once and come back at once."""
+        """Before another watch.
+
+        Guards against gateways that lost theirs at once and come back at once, and against a discovery
+        that is kept overbooked by their calls alone: the more gateways, the rarer each one's.
+        """
         return self.backoff_s * (1.0 - 0.5 * self.random.random())
 
     def _watch(self) -> Watch:
--- a/tests/test_herd.py
+++ b/tests/test_herd.py
@@ -7,7 +7,7 @@
 from fakes import node, run
 
 from brackenloft import DiscoveryMode, Limits, ListKind
-from brackenloft.net.discovery import BACKOFF_S, Discovery
+from brackenloft.net.discovery import BACKOFF_S, SHARED_S, Discovery
 
 GATEWAYS, SERVERS = 14, 24
 
@@ -49,11 +49,23 @@
     for seed in range(50):
         discovery = Discovery(("127.0.0.1", 1), lambda *_: None, seed)
         discovery.backoff_s = BACKOFF_S[1]
+        assert discovery.longest_s == BACKOFF_S[1]
         pauses.add(discovery.pause_s())
     assert len(pauses) == 50 and min(pauses) >= BACKOFF_S[1] / 2 and max(pauses) <= BACKOFF_S[1]
     assert max(pauses) - min(pauses) > BACKOFF_S[1] / 4
 
 
+def test_watches_of_a_large_fleet_together_come_back_no_oftener_than_those_of_a_small_one():
+    rates = []
+    for gateways in (10, 40, 160):
+        fleet = [Discovery(("127.0.0.1", 1), lambda *_: None, seed, gateways) for seed in range(gateways)]
+        for discovery in fleet:
+            discovery.backoff_s = discovery.longest_s
+        rates.append(sum(1.0 / discovery.pause_s() for discovery in fleet))
+    assert max(rates) < 1.5 * min(rates)
+    assert all(discovery.pause_s() >= gateways * SHARED_S[0] / 2 for discovery in fleet)
+
+
 def test_list_that_must_be_asked_for_is_no_error_as_the_watch_is_kept(caplog):
     async def test():
         async with node(**{"discovery": DiscoveryMode.ASK}) as gateway:
