--- a/brackenloft/__init__.py
+++ b/brackenloft/__init__.py
@@ -21,6 +21,7 @@
     Limits,
     ListKind,
     Log,
+    NewSettings,
     OtherGone,
     Outcome,
     PeerMessage,
@@ -50,8 +51,8 @@
 __all__ = [
     "Action", "Admit", "Cancel", "ClientGone", "CloseIdle", "Contract", "CounterAdd", "CounterReply",
     "DiscoveryMode", "Drain", "Effect", "Elsewhere", "Event", "Fail", "FetchList", "Gateway", "HandOver",
-    "KeyScope", "Limits", "ListKind", "Log", "OtherGone", "Outcome", "PeerMessage", "Plan", "Probe",
-    "ProbeResult", "Refuse", "Request", "RequestClass", "Send", "ServerByHand", "ServerEntry",
+    "KeyScope", "Limits", "ListKind", "Log", "NewSettings", "OtherGone", "Outcome", "PeerMessage", "Plan",
+    "Probe", "ProbeResult", "Refuse", "Request", "RequestClass", "Send", "ServerByHand", "ServerEntry",
     "ServerList", "ServerState", "SetTimer", "Settings", "SetUsable", "Status", "Stopping",
     "StreamStarted", "Subscribe", "TellPeer", "TimerFired",
 ]
--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -10,15 +10,14 @@
 import signal
 import socket
 import sys
+import threading
 import time
-from collections.abc import Callable
-from dataclasses import dataclass
-from pathlib import Path
-from typing import Any
+from collections.abc import Callable, Mapping, Sequence
 
 import uvloop
 
 from brackenloft import interface as api
+from brackenloft.config import Config, read, read_file, told
 from brackenloft.logic import Gateway
 from brackenloft.net import admin
 from brackenloft.net.clients import Clients
@@ -26,18 +25,18 @@
 from brackenloft.net.driver import Clock, Driver
 from brackenloft.net.handover import Handover
 from brackenloft.net.operators import Operators
+from brackenloft.net.reload import Reload, budget
 from brackenloft.net.servers import Address, Servers
-from brackenloft.settings import settings_from
+from brackenloft.reader import ConfigError
 
 log = logging.getLogger("brackenloft")
 
-OTHER_DESCRIPTORS = 32  # beside clients and servers: the log, the loop, discovery, the listener, a margin
 LINES_PER_S = 20  # of the log, at most
 FIRST_LIST_S = 1.0  # how long the known list, which may be old, waits for discovery's before it must do
 LAST_S = 0.5  # before its end a gateway that stops takes no more: what it took last is answered in that time
 KILL_S = (3.0, 0.7)  # after SIGTERM comes SIGKILL: the longest deadline, this at most, and so much more
 SPARE_S = 0.3  # of that time, in which all is answered but not yet killed
-READ_AGAIN_S = (0.1, 20)  # after SIGHUP: between readings of a file that can't be read, and how many
+BAD_CONFIGURATION = 2  # the exit code, of a start and of a check
 
 
 class Sparing(logging.Filter):
@@ -63,39 +62,6 @@
         return self.lines <= LINES_PER_S
 
 
-def _address(text: str) -> Address:
-    host, _, port = text.rpartition(":")
-    return host, int(port)
-
-
-@dataclass(frozen=True)
-class Config:
-    """What the gateway is told at its start."""
-
-    name: str
-    listen: Address
-    discovery: Address
-    admin: Address | None
-    seed: int
-    descriptors: int
-    known: Any
-    settings: api.Settings
-
-    @staticmethod
-    def load(environment: dict[str, str]) -> Config:
-        """From EDGE_CONFIG; EDGE_LISTEN and EDGE_DISCOVERY, where set, say the same or come first."""
-        document = json.loads(Path(environment["EDGE_CONFIG"]).read_text())
-        door = environment.get("EDGE_ADMIN") or document.get("admin")
-        return Config(
-            name=environment.get("EDGE_NAME") or document["name"],
-            listen=_address(environment.get("EDGE_LISTEN") or document["listen"]),
-            discovery=_address(environment.get("EDGE_DISCOVERY") or document["discovery"]),
-            admin=_address(door) if door else None,
-            seed=int(document["seed"], 16), descriptors=int(document["limits"]["sockets"]),
-            known=document["known"], settings=settings_from(document["settings"]),
-        )
-
-
 def _passed(environment: dict[str, str], listen: Address) -> socket.socket | None:
     """The clients' listener as the platform passes it on; None where there is none, or it is another one."""
     text = environment.get("EDGE_PASSED_SOCKET")
@@ -114,32 +80,15 @@
     return None
 
 
-def _reload(discovery: Discovery, tries: int = READ_AGAIN_S[1]) -> None:
-    """Read the configuration again: discovery may have moved. Decisions keep the settings of the start.
-
-    The file comes before EDGE_DISCOVERY here, which is of the start. Guards against a file that is being
-    written: it is read again a little later; meanwhile all stays as it was.
-    """
-    try:
-        document = json.loads(Path(os.environ["EDGE_CONFIG"]).read_text())
-        discovery.move(_address(document["discovery"]))
-    except (OSError, ValueError, KeyError, TypeError, AttributeError) as error:
-        log.error("the configuration can't be read: %r", error)
-        if tries > 1:
-            asyncio.get_running_loop().call_later(READ_AGAIN_S[0], _reload, discovery, tries - 1)
-
-
-async def serve(config: Config) -> None:
-    """Serve until SIGTERM, then see to what was taken and return."""
+async def serve(config: Config, hung_up: threading.Event) -> None:
+    """Serve until SIGTERM, then see to what was taken and return. ``hung_up``: SIGHUP came before."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    others = OTHER_DESCRIPTORS + (admin.DESCRIPTORS if config.admin else 0)
-    budget = max(2, config.descriptors - others)
-    servers = Servers(config.settings, budget // 2)
+    servers = Servers(config.settings, budget(config))
     driver = Driver(Gateway(config.settings, config.seed), servers, Clock())
-    clients = Clients(driver, config.settings, budget // 2)
+    clients = Clients(driver, config.settings, budget(config))
     driver.on_admit = clients.admit
 
     def news(listing: api.ServerList, addresses: dict[int, Address]) -> None:
@@ -149,30 +98,38 @@
             clients.ready = True
 
     discovery = Discovery(config.discovery, news, config.seed, config.settings.gateways)
-    loop.add_signal_handler(signal.SIGHUP, _reload, discovery)
     who = {"name": config.name, "listen": f"{config.listen[0]}:{config.listen[1]}"}
     handover = Handover(os.environ.get("TMPDIR"), who, driver, clients, servers, discovery)
     operators = Operators(driver, clients, discovery.roster, handover)
     door = admin.Door(operators.calls())
+    reload = Reload(config, os.environ, driver, servers, clients, discovery, door, handover)
+    door.calls.update(reload.calls())
+    loop.add_signal_handler(signal.SIGHUP, reload.signal)
+    if hung_up.is_set():
+        reload.signal()
     if config.admin:
         await door.listen(*config.admin)
     passed = _passed(dict(os.environ), config.listen)
     if await handover.take():
         clients.ready = True
     else:
-        discovery.known(config.known)
+        discovery.known(json.loads(config.known))
         loop.call_later(FIRST_LIST_S, lambda: setattr(clients, "ready", True))
     watching = loop.create_task(discovery.run())
     await clients.listen(*config.listen, passed or handover.take_listener())
     handover.offer()
     operators.up.set()
+    reload.up.set()
     log.info("listening")
     await stop.wait()
-    await _leave(config.settings, driver, clients, handover)
+    reload.close()
+    await _leave(driver.gateway.settings, driver, clients, handover)
     handover.close()
     door.close()
     watching.cancel()
     servers.close()
+    # The loop gives the signal back its default as it closes: a late one must not end this process by it.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
 
 async def _leave(
@@ -200,17 +157,48 @@
     clients.abort()
 
 
-def main() -> int:
-    """Run the gateway; 0 after SIGTERM."""
+def _check(path: str) -> int:
+    """Check a file without serving: its faults, if any, on standard error."""
+    config = _load({**os.environ, "EDGE_CONFIG": path})
+    if config is None:
+        return BAD_CONFIGURATION
+    for name in config.unknown:
+        print(f"warning: {name}: unknown, not read", file=sys.stderr)
+    return 0
+
+
+def _load(environment: Mapping[str, str]) -> Config | None:
+    """The configuration; None when its faults have been told."""
+    try:
+        return read(read_file(environment.get("EDGE_CONFIG", "")), environment)
+    except ConfigError as error:
+        for fault in error.faults:
+            print(fault, file=sys.stderr)
+        return None
+
+
+def main(arguments: Sequence[str] = ()) -> int:
+    """Run the gateway; 0 after SIGTERM. With ``--check FILE``: only check that file."""
+    if arguments:
+        if len(arguments) != 2 or arguments[0] != "--check":
+            print("usage: python -m brackenloft [--check FILE]", file=sys.stderr)
+            return BAD_CONFIGURATION
+        return _check(arguments[1])
+    hung_up = threading.Event()
+    signal.signal(signal.SIGHUP, lambda *_: hung_up.set())
     logging.basicConfig(
         stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s")
     for handler in logging.getLogger().handlers:
         handler.addFilter(Sparing())
-    config = Config.load(dict(os.environ))
+    config = _load(os.environ)
+    if config is None:
+        return BAD_CONFIGURATION
+    if config.unknown:
+        log.warning("unknown in the configuration, not read: %s", told(list(config.unknown)))
     gc.freeze()
-    uvloop.run(serve(config))
+    uvloop.run(serve(config, hung_up))
     return 0
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(sys.argv[1:]))
--- a/brackenloft/interface.py
+++ b/brackenloft/interface.py
@@ -317,6 +317,13 @@
     active: bool
 
 
+@dataclass(frozen=True, slots=True)
+class NewSettings:
+    """The settings are these from now on; what is in hand keeps its class and its plan."""
+
+    settings: Settings
+
+
 @dataclass(frozen=True, slots=True)
 class HandOver:
     """The next process takes over: what is in hand here is reserved there, and its ends are told."""
@@ -359,7 +366,7 @@
 Event = (
     ServerList | Request | Outcome | StreamStarted | ClientGone | TimerFired
     | ProbeResult | PeerMessage | CounterReply | Stopping | ServerByHand | Drain
-    | HandOver | Elsewhere | OtherGone
+    | HandOver | Elsewhere | OtherGone | NewSettings
 )
 
 
--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -16,6 +16,7 @@
 from math import exp, inf
 from typing import Any
 
+from brackenloft.change import LEAST_POOL, Changes
 from brackenloft.interface import (
     Action,
     Admit,
@@ -31,6 +32,7 @@
     KeyScope,
     ListKind,
     Log,
+    NewSettings,
     OtherGone,
     Outcome,
     Plan,
@@ -78,7 +80,6 @@
 HERD_LIMIT = 6.0  # but no more at a server than this over all gateways, however many they are
 POOL_GROWTH = 0.035  # attempts by which a quick answer lifts a pool that is used up: thirty lift it by one
 POOL_CUT = 0.3  # attempts that a slow answer takes off: one slow answer in ten holds the pool level
-LEAST_POOL = 0.3  # attempts out, a share of requests below one: the pool must see answers to recover
 QUICK = 0.3  # of the aim: answers faster than this lift the pool
 SLOW = 0.5  # of the aim: answers slower than this cut the pool, and attempts out so long are doubtful
 
@@ -115,10 +116,13 @@
     """What this gateway knows of one customer: its excess, its late metered use, what it has out."""
 
     __slots__ = ("excess", "touched", "largest", "width", "used", "used_at", "out", "ceiling", "ceiling_at",
-                 "asked", "asked_at", "key", "elsewhere")
+                 "asked", "asked_at", "key", "elsewhere", "span", "epoch", "strict", "strict_epoch", "older")
 
-    def __init__(self, key: tuple[str, str], now: float, ceiling: float) -> None:
+    def __init__(self, key: tuple[str, str], now: float, ceiling: float, epoch: int) -> None:
         self.key = key
+        self.span, self.epoch = 1, epoch  # gateways that the requests named; the last change it is up to
+        self.strict: Plan | None = None  # bounds while requests are in hand that were taken before a change:
+        self.strict_epoch = self.older = 0  # which change, and how many requests
         self.elsewhere = 0  # in hand in the process before this one: places under the in-flight cap
         self.excess, self.touched, self.largest, self.width = 0.0, now, 0.0, 1
         self.used, self.used_at = 0.0, -inf
@@ -157,14 +161,14 @@
     """A request in hand: held, parked or out, or answered with attempts still out."""
 
     __slots__ = ("request", "kind", "plan", "customer", "arrived", "deadline", "sends", "out", "tried",
-                 "closed", "maybe_ran", "streaming", "waiting", "turn", "keys")
+                 "closed", "maybe_ran", "streaming", "waiting", "turn", "keys", "epoch")
 
     def __init__(
         self, request: Request, kind: RequestClass, plan: Plan, customer: Customer, now: float,
-        turn: float,
+        turn: float, epoch: int,
     ) -> None:
         self.request, self.kind, self.plan, self.customer = request, kind, plan, customer
-        self.arrived, self.deadline = now, now + request.patience_ms
+        self.arrived, self.deadline, self.epoch = now, now + request.patience_ms, epoch
         self.keys = ("", f"class {kind.name}", f"class {kind.name} of plan {plan.name}")
         self.sends, self.turn = 0, turn  # the turn says which cold servers it may go to, once for all
         self.out: dict[int, tuple[Server, float]] = {}
@@ -188,7 +192,9 @@
         self.parked: dict[str, Flight] = {}
         self.timers: dict[int, tuple[Callable[[Any], None], Any]] = {}
         self.tokens, self.now, self.started_at, self.ends_at = 0, -inf, inf, inf
-        self.latency = {item.name: item.aim_ms * FIRST_LATENCY for item in settings.classes}
+        self.gateways = settings.gateways  # that share the quotas, as they are counted here
+        self.changes = Changes(self)
+        self.latency = {item.name: self.first_latency(item) for item in settings.classes}
         self.retries = RETRY_STORE
         self.young: set[tuple[str, int]] = set()  # attempts out that are not slow yet: what the pool counts
         self.pool = inf  # until the first list
@@ -211,6 +217,7 @@
             ProbeResult: self._on_probe, Stopping: self._on_stopping,
             ServerByHand: self._on_hand, Drain: self._on_drain,
             HandOver: self._on_hand_over, Elsewhere: self._on_elsewhere, OtherGone: self._on_other_gone,
+            NewSettings: self.changes.on_settings,
         }
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
@@ -231,8 +238,11 @@
         key = (request.plan, request.customer)
         customer = self.customers.pop(key, None)
         if customer is None:
-            customer = Customer(key, self.now, self._fresh_ceiling(plan, request.width))
-        customer.width = min(request.width, self.settings.gateways)
+            fresh = self.fresh_ceiling(plan, request.width)
+            customer = Customer(key, self.now, fresh, self.changes.epoch)
+        elif customer.epoch != self.changes.epoch:
+            self.changes.catch_up(customer)
+        customer.span, customer.width = request.width, min(request.width, self.gateways)
         customer.largest = max(customer.largest, request.units)
         self.customers[key] = customer
         self._forget_one()
@@ -242,12 +252,17 @@
         """Keeps the state bounded: each request brings one customer at most and may take one away."""
         for _ in range(2):
             key = next(iter(self.customers))
-            old, plan = self.customers[key], self.plans[key[0]]
+            old, plan = self.customers[key], self.changes.plan(key[0])
+            if old.epoch != self.changes.epoch:
+                self.changes.catch_up(old)
+            if plan is None:  # gone for so long that it is forgotten
+                del self.customers[key]
+                return
             idle = self.now - max(old.touched, old.used_at)
             drained = old.excess <= plan.rate / old.width * idle
-            full = self._ceiling_level(old, plan) >= self._fresh_ceiling(plan, old.width)
+            full = self.ceiling_level(old, plan, self.now) >= self.fresh_ceiling(plan, old.width)
             busy = old.out or old.elsewhere
-            if busy or not drained or not full or idle < NEWS_PERIODS * self.settings.meter_period_ms:
+            if busy or not drained or not full or idle < self.news_ms():
                 return
             if len(self.customers) > 1:
                 del self.customers[key]
@@ -272,16 +287,22 @@
         is refused too.
         """
         thin = plan.burst < customer.largest * customer.width
-        return thin and self._drain_ms(customer, plan) > NEWS_PERIODS * self.settings.meter_period_ms
+        return thin and self._drain_ms(customer, plan) > self.news_ms()
 
-    def _room(self, customer: Customer, lasts_ms: float) -> float:
+    def news_ms(self) -> float:
+        """How long a reading of the meter is news."""
+        return NEWS_PERIODS * self.settings.meter_period_ms
+
+    def _room(self, customer: Customer, at: float, lasts_ms: float) -> float:
         """The room that the late reading leaves; none at or over quota, or when it is no news any more."""
-        return max(0.0, 1.0 - customer.used) if self.now - customer.used_at <= lasts_ms else 0.0
+        return max(0.0, 1.0 - customer.used) if at - customer.used_at <= lasts_ms else 0.0
 
     def _share(self, customer: Customer) -> float:
+        return self.share(customer, self.now, self.news_ms())
+
+    def share(self, customer: Customer, at: float, news_ms: float) -> float:
         """The slice of the quota: the even floor, and the even part of the room that fresh news leaves."""
-        room = self._room(customer, NEWS_PERIODS * self.settings.meter_period_ms)
-        return min(1.0, (1.0 + GROWTH * room) / customer.width)
+        return min(1.0, (1.0 + GROWTH * self._room(customer, at, news_ms)) / customer.width)
 
     def _meter(self, customer: Customer, plan: Plan, units: float) -> float:
         """Milliseconds to hold the request, inf to refuse it; the excess is stored unless it is refused."""
@@ -293,7 +314,7 @@
         drained = self._drained(customer, plan)
         customer.asked, customer.asked_at = max(0.0, customer.asked - drained) + units, self.now
         if self._thin(customer, plan) and customer.asked <= THIN_BURST * customer.largest:
-            burst *= 1.0 + THIN_BURST * self._room(customer, self._drain_ms(customer, plan))
+            burst *= 1.0 + THIN_BURST * self._room(customer, self.now, self._drain_ms(customer, plan))
         elapsed = self.now - customer.touched
         excess = max(0.0, customer.excess - rate * elapsed + THOUSANDTHS * units)
         if excess > 2.0 * burst:
@@ -301,6 +322,11 @@
         customer.excess, customer.touched = excess, self.now
         return max(0.0, excess - burst) / rate
 
+    @staticmethod
+    def first_latency(kind: RequestClass) -> float:
+        """A class's mean latency until answers have been seen."""
+        return kind.aim_ms * FIRST_LATENCY
+
     def _useful(self, kind: RequestClass) -> float:
         """How long a hold may last for the answer to come within the aim.
 
@@ -359,34 +385,38 @@
 
     def _in_flight_cap(self, flight: Flight) -> float:
         """This gateway's slice of the attempts a customer may have out at once, at least one."""
-        cap = flight.plan.max_in_flight
+        cap = (flight.customer.strict or flight.plan).max_in_flight
         return max(1, int(cap * self._share(flight.customer))) if cap else inf
 
     def _capped(self, flight: Flight) -> bool:
         return flight.customer.out + flight.customer.elsewhere >= self._in_flight_cap(flight)
 
-    def _fresh_ceiling(self, plan: Plan, width: int) -> float:
+    def fresh_ceiling(self, plan: Plan, width: int) -> float:
         """The ceiling's share of a customer not seen since the start: unknown history starts at nought."""
-        return min(plan.ceiling_burst, plan.ceiling_rate * (self.now - self.started_at) / 1000.0) / width
+        level, at = self.changes.fresh.get(plan.name, (0.0, self.started_at))
+        return min(plan.ceiling_burst, level + plan.ceiling_rate * (self.now - at) / 1000.0) / width
 
-    def _ceiling_level(self, customer: Customer, plan: Plan) -> float:
-        refill = plan.ceiling_rate / customer.width * (self.now - customer.ceiling_at) / 1000.0
+    def ceiling_level(self, customer: Customer, plan: Plan, at: float) -> float:
+        """Units in this gateway's share of the ceiling's store."""
+        refill = plan.ceiling_rate / customer.width * (at - customer.ceiling_at) / 1000.0
         return min(plan.ceiling_burst / customer.width, customer.ceiling + refill)
 
     def _ceiling_wait(self, flight: Flight) -> float:
         """Milliseconds until this gateway's share of the hard ceiling holds the request's units."""
-        if not flight.plan.ceiling_rate:
-            return 0.0
         customer, units = flight.customer, flight.request.units
-        if units > flight.plan.ceiling_burst / customer.width:
+        plan = customer.strict or flight.plan
+        if not plan.ceiling_rate:
+            return 0.0
+        if units > plan.ceiling_burst / customer.width:
             return inf
-        short = units - self._ceiling_level(customer, flight.plan)
-        return max(0.0, short) * 1000.0 * customer.width / flight.plan.ceiling_rate
+        short = units - self.ceiling_level(customer, plan, self.now)
+        return max(0.0, short) * 1000.0 * customer.width / plan.ceiling_rate
 
     def _draw_ceiling(self, flight: Flight) -> None:
-        if flight.plan.ceiling_rate:
-            customer = flight.customer
-            customer.ceiling = self._ceiling_level(customer, flight.plan) - flight.request.units
+        customer = flight.customer
+        plan = customer.strict or flight.plan
+        if plan.ceiling_rate:
+            customer.ceiling = self.ceiling_level(customer, plan, self.now) - flight.request.units
             customer.ceiling_at = self.now
 
     # ---- Server choice and health
@@ -578,7 +608,7 @@
         self.sends += 1
         self.young.add((request.request_id, number))
         self.actions.append(Send(request.request_id, server.id))
-        self._arm(SLOW * flight.kind.aim_ms, self._on_slow, (flight, number))
+        self.arm(SLOW * flight.kind.aim_ms, self._on_slow, (flight, number))
 
     def _may_resend(self, flight: Flight) -> bool:
         return flight.sends < self.settings.limits.max_attempts and self.retries >= 1.0
@@ -609,7 +639,7 @@
         if not flight.closed:
             self._again(flight, event.status, (server, sent))
         self._drop_if_done(flight)
-        self._retry_parked()
+        self.retry_parked()
 
     def _again(self, flight: Flight, status: Status, attempt: tuple[Server, float]) -> None:
         """After a failed attempt: another one where class, budget and time allow it, else the answer."""
@@ -653,8 +683,9 @@
     def _drop_if_done(self, flight: Flight) -> None:
         if flight.closed:
             self.parked.pop(flight.request.request_id, None)
-            if not flight.out:
-                self.flights.pop(flight.request.request_id, None)
+            if not flight.out and flight.request.request_id in self.flights:
+                del self.flights[flight.request.request_id]
+                self.changes.ended(flight)
             if self.handed:
                 self._tell_next(flight.customer, 0.0)
 
@@ -676,7 +707,7 @@
         self.young.discard((event.request_id, event.attempt))
         self._press(server, flight.kind, Status.OK, event.latency_ms)
         self._learn(server, flight.kind, event.latency_ms)
-        self._retry_parked()
+        self.retry_parked()
 
     def _on_probe(self, event: ProbeResult) -> None:
         server = self.servers.get(event.server)
@@ -695,13 +726,14 @@
             self._remove(id for id in list(self.servers) if id not in listed)
         for entry in event.entries:
             self._take_entry(entry)
-        self._relist()
+        self.relist()
         if event.kind is ListKind.CACHED:
-            share = len(self.servers) / self.settings.gateways
+            share = len(self.servers) / self.gateways
             self.pool = max(FIRST_LIMIT * share, min(FIRST_HERE, HERD_LIMIT * share))
-        self._retry_parked()
+        self.retry_parked()
 
-    def _relist(self) -> None:
+    def relist(self) -> None:
+        """Note which servers are ready, and which of them are cold."""
         self.ready = [server for server in self.servers.values() if server.ready]
         self.cold = [server for server in self.ready if self._warmth(server) < 1.0]
 
@@ -710,7 +742,7 @@
         if kind in (ListKind.CACHED, ListKind.FAILED):
             again = self.settings.contract.ask_within_ms * ASK_SHARE
             delay = 0.0 if kind is ListKind.CACHED else again
-            self._arm(delay, lambda _: self.actions.append(Subscribe(True)), None)
+            self.arm(delay, lambda _: self.actions.append(Subscribe(True)), None)
 
     def _take_entry(self, entry: ServerEntry) -> None:
         server = self.servers.get(entry.server)
@@ -755,8 +787,8 @@
                 server.owed_at = self.now + OWED_MS
             server.ready = server.listed and not event.out
         self.actions.append(SetUsable(event.server, not event.out))
-        self._relist()
-        self._retry_parked()
+        self.relist()
+        self.retry_parked()
 
     def _on_drain(self, event: Drain) -> None:
         """The front is told at once; clients' connections are closed when it has long taken notice."""
@@ -768,7 +800,7 @@
         self._log("drained by hand" if event.active else "takes clients again")
         if event.active:
             for delay, linger in zip(LEAVING_MS, (IDLE_MS, 0.0), strict=True):
-                self._arm(delay, self._on_leaving, (self.drains, linger))
+                self.arm(delay, self._on_leaving, (self.drains, linger))
 
     def _on_leaving(self, step: tuple[int, float]) -> None:
         drain, linger = step
@@ -797,6 +829,7 @@
 
     def _on_hand_over(self, _: HandOver) -> None:
         self.handed = True
+        self.changes.hand_over()
         self._log(f"handed over with {len(self.flights)} requests in hand")
 
     def _tell_next(self, customer: Customer, charged: float, used: float | None = None) -> None:
@@ -807,18 +840,19 @@
         customer = self.customers.get((event.plan, event.customer))
         if customer is None:
             return
+        self.changes.catch_up(customer)
         customer.elsewhere = event.in_hand
         customer.excess = max(0.0, customer.excess + THOUSANDTHS * event.charged)
         if event.used_percent is not None:
             customer.used, customer.used_at = event.used_percent / 100.0, self.now
-        self._retry_parked()
+        self.retry_parked()
 
     def _on_other_gone(self, _: OtherGone) -> None:
         """The process before this one has ended, or the next one has: then this one goes on alone."""
         self.handed = False
         for customer in self.customers.values():
             customer.elsewhere = 0
-        self._retry_parked()
+        self.retry_parked()
 
     # ---- Dispatch
 
@@ -841,7 +875,7 @@
             self._count("thin", plan)
             self.actions.append(Refuse(event.request_id, self._advice(customer, plan, event.units)))
             return
-        flight = Flight(event, kind, plan, customer, self.now, self.random.random())
+        flight = Flight(event, kind, plan, customer, self.now, self.random.random(), self.changes.epoch)
         before = customer.excess, customer.touched
         hold = self._meter(customer, plan, event.units)
         if hold and hold >= min(event.patience_ms, self.ends_at - self.now, self._longest_hold(kind)):
@@ -855,7 +889,7 @@
         self._limit(flight)
         if hold > 0.0:
             flight.waiting = True
-            self._arm(hold, self._end_hold, flight)
+            self.arm(hold, self._end_hold, flight)
         else:
             self._release(flight)
 
@@ -887,13 +921,13 @@
         """
         if flight.request.request_id not in self.parked:
             last = flight.arrived + self._useful(flight.kind) - self.now
-            self._arm(max(0.0, last), self._end_park, flight)
+            self.arm(max(0.0, last), self._end_park, flight)
         self.parked[flight.request.request_id] = flight
         if self.servers and len(self.parked) > max(1.0, self.pool):
             self._answer(min(self.parked.values(), key=self._value), "crowded")
         if wait and not flight.closed and not flight.waiting:
             flight.waiting = True  # one timer each: every outcome tries all that are parked again
-            self._arm(wait + self.settings.tick_ms, self._end_hold, flight)
+            self.arm(wait + self.settings.tick_ms, self._end_hold, flight)
 
     def _value(self, flight: Flight) -> float:
         """Worth for the work: what is refused last and released first."""
@@ -905,7 +939,8 @@
             short = self._ceiling_wait(flight) > 0.0
             self._answer(flight, "waited: cap" if capped else "waited: ceiling" if short else "waited: pool")
 
-    def _retry_parked(self) -> None:
+    def retry_parked(self) -> None:
+        """Whatever waits may go now: try it, what is worth most first."""
         for flight in sorted(self.parked.values(), key=self._value, reverse=True):
             if not flight.closed:
                 self._release(flight)
@@ -914,7 +949,7 @@
         """Arm the final answer: before the client's deadline, and before this gateway is ended."""
         flight.deadline = min(flight.deadline, self.ends_at)
         last = flight.deadline - self.now - ANSWER_TICKS * self.settings.tick_ms
-        self._arm(max(0.0, last), self._on_deadline, flight)
+        self.arm(max(0.0, last), self._on_deadline, flight)
 
     def _on_stopping(self, event: Stopping) -> None:
         """Guards against losing requests whose clients would wait longer than this gateway will live."""
@@ -932,7 +967,8 @@
         if call:
             call[0](call[1])
 
-    def _arm(self, delay: float, call: Callable[[Any], None], argument: Any) -> None:
+    def arm(self, delay: float, call: Callable[[Any], None], argument: Any) -> None:
+        """Call this after so many milliseconds."""
         self.tokens += 1
         self.timers[self.tokens] = (call, argument)
         self.actions.append(SetTimer(self.tokens, delay))
--- a/brackenloft/net/admin.py
+++ b/brackenloft/net/admin.py
@@ -85,7 +85,7 @@
     """The listener for operators, and what each call does."""
 
     def __init__(self, calls: Mapping[str, Handler]) -> None:
-        self.calls = calls
+        self.calls = dict(calls)
         self.loop = asyncio.get_running_loop()
         self.callers: OrderedDict[Caller, None] = OrderedDict()
         self.server: asyncio.Server | None = None
@@ -93,10 +93,20 @@
     async def listen(self, host: str, port: int) -> None:
         """Listen; a door that can't be opened is logged and missing, the gateway serves all the same."""
         try:
-            self.server = await self.loop.create_server(lambda: Caller(self), host, port)
+            self.server = await self.bind(host, port)
         except OSError as error:
             log.error("no door for operators: %r", error)
 
+    async def bind(self, host: str, port: int) -> asyncio.Server:
+        """A listener at another address, for ``move``; OSError if there can be none."""
+        return await self.loop.create_server(lambda: Caller(self), host, port)
+
+    def move(self, server: asyncio.Server | None) -> None:
+        """Listen there from now on, or nowhere; who is connected stays."""
+        if self.server:
+            self.server.close()
+        self.server = server
+
     def opened(self, caller: Caller) -> None:
         """Guards against callers that connect and say nothing: they never keep another one out."""
         self.callers[caller] = None
@@ -115,11 +125,12 @@
         handler = self.calls.get(name)
         if handler is None:
             return False, "no such call; there are " + ", ".join(sorted(self.calls))
-        if len(ids) != (name in WITH_ID):
-            return False, f"{name} takes {'one id' if name in WITH_ID else 'nothing'}"
+        takes = TAKES.get(name, NOTHING)
+        if len(ids) not in takes:
+            return False, f"{name} takes {' or '.join(takes.values())}"
         try:
             async with asyncio.timeout(ANSWER_S):
-                return await handler(ids[0] if ids else "")
+                return await handler(" ".join(ids))
         except TimeoutError:
             return False, "not done in time"
         except Exception:  # a fault of one call must not end the gateway
@@ -136,4 +147,7 @@
                     caller.transport.abort()
 
 
-WITH_ID = frozenset({"OFFLINE", "ONLINE"})
+NOTHING = {0: "nothing"}
+TAKES: Mapping[str, Mapping[int, str]] = {  # words behind a call
+    "OFFLINE": {1: "one id"}, "ONLINE": {1: "one id"}, "RELOAD": {0: "nothing", 2: "CONFIRM SECONDS"},
+}
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -408,7 +408,7 @@
             self.transport.close()
         elif self.clients.pass_on:
             self.clients.try_to_pass(self)
-        elif self.clients.linger_s < inf and self.asked and not self.lengths.within():
+        elif self.asked and not self.lengths.within() and self.clients.unwanted():
             self.close_idle()
 
     def between_requests(self) -> bool:
@@ -547,13 +547,33 @@
                 client.close_idle()
         self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
+    def retell(self, settings: api.Settings, most_connections: int) -> None:
+        """Go by these settings from now on; beyond the limit idle connections go, the longest idle first.
+
+        One with something in hand goes once it has been answered.
+        """
+        self.commands, self.most_connections = Commands(settings), most_connections
+        for client in [client for client in self.connections if client.between_requests()]:
+            if not self.beyond():
+                break
+            self.closed(client)
+            client.close_idle()
+
+    def unwanted(self) -> bool:
+        """Whether a connection is closed as soon as nothing is owed on it."""
+        return self.linger_s < inf or self.beyond()
+
+    def beyond(self) -> bool:
+        """Whether there are more connections than there may be."""
+        return len(self.connections) + self.elsewhere > self.most_connections
+
     def opened(self, client: Client) -> None:
         """Count a new connection; beyond the limit an idle one goes, or else the new one.
 
         Guards against running out of descriptors, which would hit connections to servers too.
         """
         self.connections[client] = None
-        if len(self.connections) + self.elsewhere <= self.most_connections:
+        if not self.beyond():
             return
         idle = next((one for one in self.connections if one is not client and not one.slots), client)
         assert idle.transport
--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -183,13 +183,17 @@
 
     def __init__(self, address: Address, news: News, seed: int = 0, gateways: int = 1) -> None:
         self.address, self.news = address, news
-        self.shortest_s, self.longest_s = map(max, BACKOFF_S, (gateways * share for share in SHARED_S))
+        self.retell(gateways)
         self.random = random.Random(seed)
         self.roster = Roster()
         self.backoff_s = self.shortest_s
         self.watch: Watch | None = None
         self.moved = asyncio.Event()  # to another address: what waits, waits no longer
 
+    def retell(self, gateways: int) -> None:
+        """So many gateways share discovery from now on."""
+        self.shortest_s, self.longest_s = map(max, BACKOFF_S, (gateways * share for share in SHARED_S))
+
     def move(self, address: Address) -> None:
         """Watch at another address from now on, from where the watch at the old one was."""
         if address == self.address:
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -389,10 +389,6 @@
 
     def __init__(self, settings: api.Settings, most_connections: int) -> None:
         self.loop = asyncio.get_running_loop()
-        self.connect_timeout_s = settings.limits.connect_timeout_ms / 1000.0
-        self.idle_limit_s = settings.limits.connection_idle_ms / 1000.0 * IDLE_SHARE
-        self.readings = Readings(settings.load_fields)
-        self.most_connections = most_connections
         self.hosts: dict[int, Host] = {}
         self.elsewhere = 0  # connections that the process before this one still holds
         self.pass_on: Callable[[Connection, int], bool] | None = None  # to the next process, if it takes over
@@ -400,8 +396,22 @@
         self.connections: set[Connection] = set()
         self.buffer = memoryview(bytearray(READ))
         self.passing = 0  # long values on their way
+        self.retell(settings, most_connections)
         self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
+    def retell(self, settings: api.Settings, most_connections: int) -> None:
+        """Go by these settings from now on; beyond the limit idle connections go, the longest idle first."""
+        self.connect_timeout_s = settings.limits.connect_timeout_ms / 1000.0
+        self.idle_limit_s = settings.limits.connection_idle_ms / 1000.0 * IDLE_SHARE
+        self.readings = Readings(settings.load_fields)
+        self.most_connections = most_connections
+        while self._beyond() and self._evict():
+            pass
+
+    def _beyond(self) -> bool:
+        """Whether there are more connections than there may be."""
+        return len(self.connections) + self.elsewhere > self.most_connections
+
     def update(self, news: api.ServerList, addresses: Mapping[int, Address]) -> None:
         """Take over discovery's news; connections that it makes useless are closed."""
         listed = {entry.server for entry in news.entries}
@@ -491,7 +501,7 @@
 
     def give_back(self, connection: Connection) -> None:
         """An attempt has ended well: keep its connection, unless the server changed meanwhile."""
-        if connection.closed or connection.epoch != connection.host.epoch:
+        if connection.closed or connection.epoch != connection.host.epoch or self._beyond():
             connection.close(api.Status.RESET)
             return
         if self.pass_on:
--- a/brackenloft/state.py
+++ b/brackenloft/state.py
@@ -29,6 +29,7 @@
         "servers": {names[s.id]: _server(s) for s in gateway.servers.values() if s.id in names},
         "latency": gateway.latency, "pool": gateway.pool, "retries": gateway.retries,
         "sends": gateway.sends, "started_at": gateway.started_at, "marks": gateway.marks,
+        "fresh": gateway.changes.fresh,
         "quick": {kind: [names[n] for n in known if n in names] for kind, known in gateway.quick.items()},
     }
 
@@ -51,10 +52,14 @@
     customers = {}
     for plan, name, *row in document["customers"]:
         if plan in gateway.plans:
-            made = customers[str(plan), str(name)] = Customer((str(plan), str(name)), 0.0, 0.0)
+            made = Customer((str(plan), str(name)), 0.0, 0.0, gateway.changes.epoch)
             for field, value in zip(FIGURES, row, strict=True):
                 setattr(made, field, _number(value))
-            made.width, made.elsewhere = max(1, int(made.width)), int(made.elsewhere)
+            made.span, made.elsewhere = max(1, int(made.width)), int(made.elsewhere)
+            # The process before may have gone by other settings: no share is larger than it is here.
+            made.width = min(made.span, gateway.gateways)
+            made.ceiling = min(made.ceiling, gateway.plans[plan].ceiling_burst / made.width)
+            customers[made.key] = made
     latency = {kind: _number(document["latency"].get(kind, mean)) for kind, mean in gateway.latency.items()}
     servers = {numbers[name]: _read_server(row) for name, row in document["servers"].items()
                if numbers.get(name) in gateway.servers}
@@ -62,7 +67,10 @@
     figures = [_number(document[name]) for name in ("pool", "retries", "sends", "started_at")]
     quick = {kind: [numbers[name] for name in document["quick"].get(kind, ()) if name in numbers]
              for kind in gateway.quick}
+    fresh = {str(name): (_number(level), _number(at))
+             for name, (level, at) in document.get("fresh", {}).items()}
     # All of it could be read: from here on nothing fails.
+    gateway.changes.fresh = fresh
     gateway.customers, gateway.latency, gateway.marks = customers, latency, marks
     gateway.pool, gateway.retries, gateway.started_at = figures[0], figures[1], figures[3]
     gateway.sends = int(figures[2])
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -116,7 +116,7 @@
     ("{not json", "JSON"), ("[1]", "single key"), ({"Nonsense": {"i": "gateway-1"}}, "Nonsense"),
     ({"Knock": {"i": "gateway-1"}}, "op_id"), ({"Batch": {"turn": 1}}, "t_ms"),
     ({"Alarm": {"i": "gateway-9", "mark": 1}}, "gateway-9"), ({"Alarm": 3}, "Alarm"),
-    ({"OpenInstance": {"i": "x", "rng_seed": 1, "env": {**ENV, "balancers": 0}}}, "gateways"),
+    ({"OpenInstance": {"i": "x", "rng_seed": 1, "env": {**ENV, "balancers": 0}}}, "balancers: 0, want"),
 ])
 def test_bad_input_gets_a_plain_message_and_a_failing_exit(bad, word):
     done = talk(*batch(1, 0.0, opening(), roster(0, 7), listing("gateway-1", 0)), bad)
--- /dev/null
+++ b/tests/test_change.py
@@ -0,0 +1,306 @@
+"""Settings that change while the decisions are at work: what is in hand, what was used, the fleet."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from conftest import CLASSES, PLANS, SETTINGS, Rig, entry, rig_with
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from brackenloft import HandOver, Limits, NewSettings, Plan, Status, change, state
+
+QUOTA = Plan("q", rate=2.0, burst=8.0)
+CEILING = Plan("q", rate=100.0, burst=1000.0, ceiling_rate=10.0, ceiling_burst=20.0)
+CAP = Plan("q", max_in_flight=8)
+
+
+def a_rig(*plans: Plan, **more) -> Rig:
+    rig = rig_with(plans=plans or PLANS, **more)
+    rig.servers(entry(1), entry(2))
+    return rig
+
+
+def tell(rig: Rig, **changes) -> None:
+    rig.do(NewSettings(replace(rig.gateway.settings, **changes)))
+
+
+def sent(rig: Rig, count: int, **more) -> list[str]:
+    return [name for name in [rig.ask(**more) for _ in range(count)] if name in rig.sent]
+
+
+def customer(rig: Rig):
+    (only,) = rig.gateway.customers.values()
+    return only
+
+
+# ---- What a customer has used
+
+def test_excess_drains_at_the_old_rate_up_to_the_change_and_at_the_new_one_after_it():
+    rig = a_rig(QUOTA)
+    sent(rig, 4, plan="q")
+    assert customer(rig).excess == 4000.0
+    rig.run(1000.0)  # the slice drains 1 unit a second
+    tell(rig, plans=(replace(QUOTA, rate=4.0),))
+    rig.run(500.0)  # and 2 units a second now
+    rig.ask(plan="q", units=0.5)
+    assert customer(rig).excess == pytest.approx(4000.0 - 1000.0 - 1000.0 + 500.0)
+
+
+def test_nobody_gets_a_fresh_burst_however_often_the_settings_change():
+    plain, changing = a_rig(QUOTA), a_rig(QUOTA)
+    for rig in (plain, changing):
+        sent(rig, 6, plan="q")
+    for number in range(100):
+        tell(changing, plans=(replace(QUOTA, price=1.0 + number % 2),))
+        plain.run(10.0)
+        changing.run(10.0)
+    names = [len(sent(rig, 20, plan="q")) for rig in (plain, changing)]
+    assert names[0] == names[1] < 20
+    assert customer(plain).excess == pytest.approx(customer(changing).excess)
+
+
+def test_plan_that_goes_and_comes_back_finds_its_customers_as_they_were():
+    rig = a_rig(QUOTA, Plan("other"))
+    sent(rig, 4, plan="q")
+    rig.run(20.0)
+    tell(rig, plans=(Plan("other"),))
+    before = rig.ask(plan="q")
+    assert rig.answers[before] == "Refuse" and before not in rig.sent  # as an unknown plan
+    rig.run(480.0)
+    tell(rig, plans=(QUOTA, Plan("other")))
+    rig.ask(plan="q", units=1.0)
+    assert customer(rig).excess == pytest.approx(4000.0 - 500.0 + 1000.0)
+
+
+def test_state_of_idle_customers_is_caught_up_in_steps_and_comes_to_the_same():
+    rig = a_rig(QUOTA)
+    count = 5 * change.STEP
+    for number in range(count):
+        for name in sent(rig, 1, plan="q", customer=f"c{number}", units=2.0):
+            rig.finish(name)
+    held = list(rig.gateway.customers.values())
+    tell(rig, plans=(replace(QUOTA, rate=1.0),))
+    assert sum(one.epoch == 1 for one in held) == 0  # none is touched in the step of the change
+    tell(rig, plans=(replace(QUOTA, rate=0.5),))
+    rig.run(4.0)
+    assert 0 < sum(one.epoch == 2 for one in held) < count
+    rig.run(1000.0)
+    assert all(one.epoch == 2 for one in held) and not rig.gateway.changes.past
+    assert {one.excess for one in held} == {2000.0} and len(held) == count
+
+
+def test_what_is_remembered_of_plans_and_changes_is_bounded():
+    rig = a_rig(QUOTA)
+    for number in range(200):
+        tell(rig, plans=(Plan(f"p{number}", rate=1.0, burst=4.0),))
+        sent(rig, 1, plan=f"p{number}", customer="c")
+        tell(rig, classes=(replace(CLASSES[0], name=f"k{number}"), *CLASSES))
+        for name in sent(rig, 1, plan=f"p{number}", class_name=f"k{number}"):
+            while name not in rig.answers:
+                rig.finish(name, Status.ERROR)
+    rig.run(5000.0)
+    changes, gateway = rig.gateway.changes, rig.gateway
+    assert len(changes.retired) <= change.MOST_RETIRED and not changes.past
+    assert len(gateway.customers) <= change.MOST_RETIRED + 1
+    tell(rig)
+    assert len(gateway.latency) == len(gateway.quick) == len(CLASSES) + 1
+    assert all(len(marks) <= 20 for marks in [gateway.marks, *(s.marks for s in gateway.servers.values())])
+
+
+# ---- What is in hand
+
+def test_plan_removed_while_its_customer_has_requests_held_parked_and_out():
+    rig = a_rig(replace(QUOTA, rate=4.0, burst=2.0, max_in_flight=2), Plan("other"))
+    names = [rig.ask("q") for _ in range(2)]
+    out = [name for name in names if name in rig.sent]
+    held = [name for name in names if name not in rig.answers and name not in rig.sent]
+    assert len(out) == len(held) == 1
+    rig.run(500.0)  # the hold is over, the cap of one is not: it is parked
+    assert held[0] in rig.gateway.parked
+    waiting = rig.ask("q")
+    assert waiting not in rig.answers and waiting not in rig.gateway.parked
+    tell(rig, plans=(Plan("other"),))
+    assert rig.answers[rig.ask("q")] == "Refuse"
+    rig.finish(out[0])
+    assert held[0] in rig.sent
+    rig.finish(held[0])
+    rig.run(600.0)
+    assert waiting in rig.sent
+    rig.finish(waiting)
+    assert {rig.answers[name] for name in (*out, *held, waiting)} == {"Ok"} and not rig.gateway.flights
+
+
+def test_class_removed_or_of_another_effect_leaves_what_is_in_hand_as_it_was_taken():
+    rig = a_rig()
+    one, two = rig.ask(class_name="unsafe"), rig.ask(class_name="brief")
+    tell(rig, classes=tuple(replace(item, effect=CLASSES[0].effect) for item in CLASSES
+                            if item.name != "brief"))
+    assert rig.answers[rig.ask(class_name="brief")] == "Refuse"
+    rig.finish(one, Status.RESET)
+    assert rig.answers[one] == "Fail" and len(rig.sent[one]) == 1  # still one that must not be repeated
+    rig.finish(two, Status.FULL)
+    assert len(rig.sent[two]) == 2
+    rig.finish(two)
+    rig.run(5000.0)
+    assert rig.answers[two] == "Ok" and not rig.gateway.flights
+
+
+def test_ceiling_halved_with_attempts_out_holds_for_all_that_still_comes():
+    rig = a_rig(CEILING)
+    rig.run(10_000.0)
+    assert len(sent(rig, 4, plan="q")) == 4  # six are left of a slice of ten
+    tell(rig, plans=(replace(CEILING, ceiling_rate=5.0, ceiling_burst=10.0),))
+    assert len(sent(rig, 20, plan="q")) == 5  # the new slice
+    before = len(rig.sent)
+    rig.run(900.0)
+    assert len(rig.sent) - before == 2  # 2.5 units a second
+
+
+def test_ceiling_raised_with_attempts_out_stays_the_stricter_one_until_they_have_ended():
+    rig = a_rig(replace(CEILING, rate=100.0))
+    rig.run(10_000.0)
+    (name,) = sent(rig, 1, plan="q")
+    tell(rig, plans=(replace(CEILING, ceiling_rate=100.0, ceiling_burst=200.0),))
+    rig.run(1000.0)
+    assert customer(rig).strict.ceiling_burst == 20.0
+    rig.finish(name)
+    assert customer(rig).strict is None
+    assert len(sent(rig, 11, plan="q")) == 10  # what the old one had filled, and no more
+    rig.run(200.0)
+    assert len(rig.sent) == 12
+
+
+@pytest.mark.parametrize("cap", [2, 16])
+def test_cap_changed_with_attempts_out_is_the_stricter_one_until_they_have_ended(cap):
+    rig = a_rig(CAP)
+    names = sent(rig, 3, plan="q")
+    tell(rig, plans=(replace(CAP, max_in_flight=cap),))
+    more = sent(rig, 4, plan="q")
+    assert len(more) == (1 if cap == 16 else 0)  # a slice of 4, or of one
+    for name in names + more:
+        rig.finish(name)
+    rig.run(10.0)
+    assert sum(len(flight.out) for flight in rig.gateway.flights.values()) <= cap // 2
+    for name in [name for name in rig.sent if name not in rig.answers]:
+        rig.finish(name)
+    while rig.gateway.flights:
+        for name in [name for name in rig.sent if name not in rig.answers]:
+            rig.finish(name)
+        rig.run(1.0)
+    assert len(sent(rig, 20, plan="q")) == cap // 2
+
+
+# ---- The number of gateways
+
+def test_more_gateways_shrink_shares_at_once_and_fewer_let_them_grow_when_the_others_have_heard():
+    rig = a_rig(QUOTA, gateways=4)
+    assert len(sent(rig, 20, plan="q", width=8)) == 2
+    pool = rig.gateway.pool
+    tell(rig, gateways=8)
+    assert customer(rig).width == 8 and rig.gateway.pool == pool / 2
+    tell(rig, gateways=2)
+    rig.run(change.SETTLE_MS - 1.0)
+    rig.ask(plan="q", width=8)
+    assert customer(rig).width == 8
+    rig.run(1.0)
+    assert customer(rig).width == 2 and rig.gateway.pool == pytest.approx(pool * 2)
+
+
+def test_another_change_before_the_others_have_heard_begins_the_wait_anew():
+    rig = a_rig(QUOTA, gateways=4)
+    tell(rig, gateways=2)
+    rig.run(change.SETTLE_MS / 2)
+    tell(rig, gateways=3)
+    rig.run(change.SETTLE_MS - 1.0)
+    assert rig.gateway.gateways == 4
+    rig.run(1.0)
+    assert rig.gateway.gateways == 3
+
+
+@settings(max_examples=25, deadline=None, derandomize=True)
+@given(st.integers(2, 6), st.integers(1, 5), st.lists(st.floats(0.0, 3900.0), min_size=6, max_size=6),
+       st.integers(200, 500))
+def test_gateways_that_become_fewer_never_draw_more_than_the_ceiling_together(before, after, told_at, every):
+    """Each hears of it at its own moment within the platform's 4 s; those that leave draw on until then."""
+    plan = Plan("q", rate=1000.0, burst=1000.0, ceiling_rate=12.0, ceiling_burst=24.0)
+    after = min(before, after)
+    rigs = [a_rig(plan, gateways=before, index=index) for index in range(before)]
+    level, at = 24.0, 1000.0
+    for rig in rigs:
+        rig.run(9000.0)
+    for step in range(9000 // every):
+        now = 10_000.0 + step * every
+        level, at = min(24.0, level + 12.0 * (now - at) / 1000.0), now
+        for index, rig in enumerate(rigs):
+            heard = step * every >= told_at[index]
+            rig.run(now - rig.now)
+            if heard and index >= after:
+                continue  # it has left
+            if heard and rig.gateway.settings.gateways != after:
+                tell(rig, gateways=after)
+            for _ in range(8):
+                rig.ask("q", width=8)
+            while out := [name for name in rig.sent if name not in rig.answers]:
+                for name in out:
+                    rig.finish(name)
+            level -= len(rig.sent)
+            rig.sent.clear()
+            assert level >= -1e-6
+
+
+# ---- Whole or not at all, and the next process
+
+def test_settings_that_the_decisions_can_not_take_leave_them_as_they_were(monkeypatch):
+    rig = a_rig()
+    sent(rig, 3, plan="metered")
+    gateway = rig.gateway
+    monkeypatch.setattr(type(gateway), "first_latency", lambda self, kind: 1 / 0)
+    watched = ("settings", "classes", "plans", "latency", "quick", "most_worth", "gateways", "pool", "cold")
+    before = {name: getattr(gateway, name) for name in watched}
+    with pytest.raises(ZeroDivisionError):
+        tell(rig, classes=(replace(CLASSES[0], name="new"),), gateways=7)
+    assert all(getattr(gateway, name) is before[name] for name in watched)
+    assert gateway.changes.epoch == 0 and not gateway.changes.past and not gateway.changes.retired
+
+
+def test_state_of_a_process_with_other_settings_is_fitted_or_left_customer_by_customer():
+    old = a_rig(QUOTA, Plan("c", ceiling_rate=10.0, ceiling_burst=20.0), Plan("gone"))
+    old.run(10_000.0)
+    for plan in ("q", "c", "gone"):
+        sent(old, 1, plan=plan, customer=plan)
+    old.run(1000.0)  # drained at the old rate of one unit a second, up to the moment of handing over
+    old.do(HandOver())
+    document = state.save(old.gateway, {1: "s-1", 2: "s-2"})
+    lower = Plan("c", ceiling_rate=2.0, ceiling_burst=4.0)
+    new = rig_with(gateways=8, plans=(replace(QUOTA, rate=0.1), lower))
+    new.now = old.now
+    new.servers(entry(1), entry(2))
+    state.load(new.gateway, document, {"s-1": 1, "s-2": 2})
+    found = new.gateway.customers
+    assert set(found) == {("q", "q"), ("c", "c")}
+    assert found["q", "q"].excess == 0.0 and found["c", "c"].ceiling == 2.0  # of 4, shared by two
+
+
+def test_a_way_back_after_taking_over_keeps_what_has_been_used():
+    old = a_rig(QUOTA)
+    sent(old, 4, plan="q")
+    old.do(HandOver())
+    new = Rig(old.settings, seed=2)
+    new.now = old.now
+    new.servers(entry(1), entry(2))
+    state.load(new.gateway, state.save(old.gateway, {1: "s-1", 2: "s-2"}), {"s-1": 1, "s-2": 2})
+    tell(new, plans=(replace(QUOTA, rate=8.0),))
+    tell(new, plans=(QUOTA,))
+    assert customer(new).excess == 4000.0
+    assert len(sent(new, 20, plan="q")) == 0
+
+
+def test_limits_bind_from_the_change_on():
+    rig = a_rig(limits=Limits(max_attempts=3, can_cancel=True))
+    name = rig.ask()
+    tell(rig, limits=Limits(max_attempts=1))
+    rig.finish(name, Status.FULL)
+    assert rig.answers[name] == "Refuse" and len(rig.sent[name]) == 1
+    assert SETTINGS.limits.max_attempts == 3
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,241 @@
+"""One reader for start, reload and check: all faults at once, each with path, value and what was expected."""
+
+import copy
+import json
+import os
+from dataclasses import FrozenInstanceError
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from test_adapter import ENV
+
+from brackenloft import __main__ as program
+from brackenloft import config as module
+from brackenloft.config import read, read_file
+from brackenloft.reader import ConfigError, parse
+from brackenloft.settings import settings_from
+
+GOOD = {
+    "name": "n0", "listen": "127.0.0.1:6379", "discovery": "127.0.0.1:8500", "seed": "8c1f30d27a5be964",
+    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+    "known": {"generation": 1, "reset": True, "instances": []}, "settings": ENV,
+}
+ABSENT = object()
+
+
+def changed(path: tuple, value: object, document: dict = GOOD) -> dict:
+    """The document with one value put in, or taken away."""
+    made = copy.deepcopy(document)
+    at = made
+    for step in path[:-1]:
+        at = at[step]
+    if value is ABSENT:
+        del at[path[-1]]
+    else:
+        at[path[-1]] = value
+    return made
+
+
+def raw(document: object) -> bytes:
+    return json.dumps(document).encode()
+
+
+def faults(document: object, **environment: str) -> list[str]:
+    with pytest.raises(ConfigError) as caught:
+        read(document if isinstance(document, bytes) else raw(document), environment)
+    return caught.value.faults
+
+
+def test_good_document_becomes_a_configuration_that_can_not_be_altered():
+    config = read(raw(GOOD), {})
+    assert config.settings == settings_from(ENV) and config.descriptors == 1024 and config.admin is None
+    assert config.listen == ("127.0.0.1", 6379) and len(config.digest) == 12
+    assert json.loads(config.known) == GOOD["known"]
+    with pytest.raises(FrozenInstanceError):
+        config.seed = 1
+    with pytest.raises(TypeError):
+        config.values["discovery"] = "x"
+
+
+@pytest.mark.parametrize("path, value, told", [
+    (("settings", "tariffs", 0, "refill"), -1,
+     "settings.tariffs[0].refill: -1, want a number of at least 0"),
+    (("settings", "tariffs", 0, "refill"), True, "settings.tariffs[0].refill: true, want a number"),
+    (("settings", "tariffs", 0, "refill"), "2", 'settings.tariffs[0].refill: "2", want a number'),
+    (("settings", "tariffs", 0, "refill"), None, "settings.tariffs[0].refill: null, want a number"),
+    (("settings", "tariffs", 0, "refill"), float("nan"), "settings.tariffs[0].refill: NaN, want a finite"),
+    (("settings", "tariffs", 0, "refill"), float("inf"), "settings.tariffs[0].refill: Infinity, want a fin"),
+    (("settings", "tariffs", 0, "refill"), 10**13, "settings.tariffs[0].refill: 10000000000000, want a numb"),
+    (("settings", "tariffs", 0, "most_at_once"), 0, "settings.tariffs[0].most_at_once: 0, want a number abo"),
+    (("settings", "tariffs", 0, "parallel"), 1.5, "settings.tariffs[0].parallel: 1.5, want a whole number"),
+    (("settings", "tariffs", 0), {**ENV["tariffs"][0], "cap_rate": 1.0, "cap_depth": 9.0},
+     "settings.tariffs[0].cap_rate: 1.0, want a ceiling not below the quota"),
+    (("settings", "tariffs", 0), {**ENV["tariffs"][0], "cap_rate": 9.0, "cap_depth": 1.0},
+     "settings.tariffs[0].cap_depth: 1.0, want a ceiling not below the quota"),
+    (("settings", "tariffs", 0), 7, "settings.tariffs[0]: 7, want a table"),
+    (("settings", "tariffs"), {}, "settings.tariffs: {}, want a list of 1 to 256 tables"),
+    (("settings", "tariffs"), [], "settings.tariffs: [], want a list"),
+    (("settings", "tariffs"), [ENV["tariffs"][0]] * 2, 'settings.tariffs[1].name: "basic", want a name that'),
+    (("settings", "tariffs"), [ENV["tariffs"][0]] * 300, "settings.tariffs: [{"),
+    (("settings", "services", 0, "effect"), "maybe", 'settings.services[0].effect: "maybe", want one of'),
+    (("settings", "services", 0, "effect"), ["safe"], 'settings.services[0].effect: ["safe"], want one of'),
+    (("settings", "services", 0, "slo_ms"), 0, "settings.services[0].slo_ms: 0, want a number above 0"),
+    (("settings", "services", 0, "stream"), 1, "settings.services[0].stream: 1, want true or false"),
+    (("settings", "services", 0, "name"), "", 'settings.services[0].name: "", want a printable text'),
+    (("settings", "services", 0, "name"), "a\nb", 'settings.services[0].name: "a\\nb", want a printable'),
+    (("settings", "services", 0, "name"), "x" * 300, 'settings.services[0].name: "xxx'),
+    (("settings", "services", 0, "name"), "\ud800", 'settings.services[0].name: "\\ud800", want a printable'),
+    (("settings", "slot_no"), 2, "settings.slot_no: 2, want a number below balancers"),
+    (("settings", "balancers"), 0, "settings.balancers: 0, want a number of at least 1"),
+    (("settings", "contract", "start_capacity"), 1.5, "settings.contract.start_capacity: 1.5, want a number"),
+    (("settings", "contract"), [], "settings.contract: [], want a table"),
+    (("settings", "contract"), ABSENT, "settings.contract: missing, want a table"),
+    (("settings", "limits", "attempts_cap"), 0, "settings.limits.attempts_cap: 0, want a number of at least"),
+    (("settings", "load_info", "names"), "busy", 'settings.load_info.names: "busy", want a list of texts'),
+    (("settings", "goal"), {"whole": float("-inf")}, "settings.goal.whole: -Infinity, want a finite number"),
+    (("settings",), ABSENT, "settings: missing, want a table"),
+    (("discovery",), "127.0.0.1", 'discovery: "127.0.0.1", want host:port'),
+    (("discovery",), "127.0.0.1:70000", 'discovery: "127.0.0.1:70000", want host:port'),
+    (("discovery",), ":8500", 'discovery: ":8500", want host:port'),
+    (("listen",), 6379, "listen: 6379, want host:port"),
+    (("admin",), "nowhere", 'admin: "nowhere", want host:port'),
+    (("name",), ABSENT, "name: missing, want a printable text"),
+    (("seed",), "0xg", 'seed: "0xg", want 1 to 64 hexadecimal digits'),
+    (("limits", "sockets"), 0, "limits.sockets: 0, want a number of at least 1"),
+    (("limits",), ABSENT, "limits: missing, want a table"),
+])
+def test_fault_is_told_once_with_its_path_its_value_and_what_was_expected(path, value, told):
+    (fault,) = faults(changed(path, value))
+    assert fault.startswith(told) and ", want " in fault
+
+
+def test_all_faults_are_told_at_once():
+    document = changed(("settings", "tariffs", 0, "refill"), -1)
+    document = changed(("settings", "services", 0, "effect"), 3, changed(("discovery",), "", document))
+    assert [fault.split(":")[0] for fault in faults(document)] == [
+        "discovery", "settings.services[0].effect", "settings.tariffs[0].refill"]
+
+
+@pytest.mark.parametrize("text, path", [
+    (b'{"name": "a", "name": "b"}', "name"), (b'{"settings": {"goal": {"x": 1, "x": 1}}}', "settings.goal.x"),
+    (b'{"settings": {"tariffs": [{"refill": 1, "refill": 2}]}}', "settings.tariffs[0].refill"),
+])
+def test_name_that_stands_twice_is_a_fault(text, path):
+    assert any(fault.startswith(f"{path}: ") and fault.endswith("want each name once")
+               for fault in faults(text))
+
+
+@pytest.mark.parametrize("text, told, torn", [
+    (b"", "the file is empty", True), (b" \n", "the file is empty", True), (raw(GOOD)[:-9], "not JSON", True),
+    (b"\xff\xfe", "not JSON", True), (raw(GOOD) + b"}", "not JSON", True), (b"[" * 100_000, "nested", False),
+    (b"9" * 5000, "not JSON", True), (b"[]", "the document: []", False),
+    (b"null", "the document: null", False),
+    (b'{"a":' * 40 + b"1" + b"}" * 40, "a.a.a", False),
+])
+def test_what_is_no_document_is_told_and_whether_it_may_be_whole_a_little_later(text, told, torn):
+    with pytest.raises(ConfigError) as caught:
+        read(text, {})
+    assert caught.value.faults[0].startswith(told) and caught.value.torn == torn
+
+
+def test_a_list_of_servers_that_is_none_stops_nothing():
+    for known in (None, 7, {"instances": [{"a": float("nan")}]}):
+        assert json.dumps(json.loads(read(raw(changed(("known",), known)), {}).known)) == json.dumps(known)
+
+
+def test_names_that_nobody_knows_are_told_and_the_platforms_own_are_not():
+    document = changed(("settings", "goal"), {"whole": 0.4})
+    document = changed(("counter",), "127.0.0.1:6400", changed(("settings", "limits", "colour"), 3, document))
+    assert set(read(raw(document), {}).unknown) == {"settings.limits.colour", "settings.a_new_key"}
+
+
+def test_environment_fills_gaps_and_comes_first_but_for_discovery_on_a_reload():
+    environment = {"EDGE_NAME": "n7", "EDGE_LISTEN": "127.0.0.1:1", "EDGE_DISCOVERY": "127.0.0.1:2",
+                   "EDGE_ADMIN": "127.0.0.1:3"}
+    for document in (GOOD, {k: v for k, v in GOOD.items() if k not in ("name", "listen", "discovery")}):
+        config = read(raw(document), environment)
+        assert (config.name, config.listen[1], config.discovery[1], config.admin) == (
+            "n7", 1, 2, ("127.0.0.1", 3))
+    assert read(raw(GOOD), environment, reload=True).discovery == ("127.0.0.1", 8500)
+    assert faults(GOOD, EDGE_ADMIN="x") == ['EDGE_ADMIN: "x", want host:port']
+
+
+def test_changes_name_the_field_and_both_values_rows_by_name():
+    before = read(raw(GOOD), {})
+    after = read(raw(changed(("settings", "tariffs", 0, "refill"), 3, changed(("discovery",), "h:9"))), {})
+    assert after.changes(before) == [
+        'discovery "127.0.0.1:8500" -> "h:9"', "settings.tariffs[basic].refill 2.0 -> 3"]
+    assert not after.changes(after) and not after.unchangeable(before)
+
+
+@pytest.mark.parametrize("name, value", [("name", "n9"), ("listen", "127.0.0.1:7"), ("seed", "ab")])
+def test_what_can_not_change_is_named(name, value):
+    before = read(raw(GOOD), {"EDGE_LISTEN": "127.0.0.1:1"})
+    after = read(raw(changed((name,), value)), {"EDGE_LISTEN": "127.0.0.1:1"}, reload=True)
+    (fault,) = after.unchangeable(before)
+    assert fault.startswith(f"{name}: ") and "can't change" in fault
+
+
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.floats() | st.integers() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner, max_size=3),
+    max_leaves=6)
+
+
+def paths(value: object, at: tuple = ()) -> list[tuple]:
+    items = value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ()
+    return [found for name, item in items for found in [(*at, name), *paths(item, (*at, name))]]
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.sampled_from(paths(GOOD)), VALUES)
+def test_whatever_stands_anywhere_is_a_configuration_or_a_list_of_faults(path, value):
+    document = changed(path, value)
+    try:
+        config = read(json.dumps(document).encode(), {})
+    except ConfigError as error:
+        assert error.faults
+    else:
+        assert config.settings.gateways > config.settings.index
+
+
+# ---- Files
+
+def test_files_that_are_none_are_told_and_do_not_hold_the_gateway(tmp_path):
+    os.mkfifo(tmp_path / "pipe")  # opening it to read would wait for a writer
+    (tmp_path / "large").write_bytes(b" " * 10 * 1024 * 1024)
+    told = {}
+    for path in (tmp_path, tmp_path / "pipe", tmp_path / "large", tmp_path / "none", "/proc/self/mem"):
+        with pytest.raises(ConfigError) as caught:
+            read_file(str(path))
+        told[os.path.basename(path)] = caught.value.faults[0]
+    assert told.pop("large") == f"the file is larger than {module.LARGEST} bytes"
+    assert len(told) == 4 and all(fault.startswith("the file can't be read") for fault in told.values())
+
+
+def test_check_tells_all_faults_and_exits_with_2_and_with_0_if_there_are_none(tmp_path, capsys):
+    path = tmp_path / "config.json"
+    path.write_bytes(raw(changed(("settings", "slot_no"), 5, changed(("seed",), "z"))))
+    assert program.main(["--check", str(path)]) == 2
+    out, told = capsys.readouterr()
+    assert not out and len(told.splitlines()) == 2 and "settings.slot_no: 5, want" in told
+    path.write_bytes(raw(GOOD))
+    assert program.main(["--check", str(path)]) == 0
+    assert capsys.readouterr().err == "warning: settings.a_new_key: unknown, not read\n"
+    assert program.main(["--check"]) == 2 and program.main(["--help", "x"]) == 2
+
+
+def test_start_with_a_faulty_file_tells_them_and_exits_with_2(tmp_path, capsys, monkeypatch):
+    path = tmp_path / "config.json"
+    path.write_text("{}")
+    monkeypatch.setenv("EDGE_CONFIG", str(path))
+    assert program.main() == 2
+    assert "settings: missing, want a table" in capsys.readouterr().err
+
+
+def test_a_million_faults_are_not_all_told():
+    with pytest.raises(ConfigError) as caught:
+        read(json.dumps({"x": [float("nan")] * 5000}).encode(), {})
+    assert len(caught.value.faults) == 101 and caught.value.faults[-1].startswith("and ")
+    assert parse(b'{"a": 1}') == {"a": 1}
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -1,10 +1,12 @@
 """The rules as properties: whatever comes in whatever order, within bounds, they hold."""
 
+from dataclasses import replace
+
 from conftest import SETTINGS, Rig, entry
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from brackenloft import ClientGone, Effect, ListKind, Outcome, ServerState, Status
+from brackenloft import ClientGone, Effect, ListKind, NewSettings, Outcome, ServerState, Status
 
 NAMES = [item.name for item in SETTINGS.classes]
 MAYBE = {Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED}
@@ -17,6 +19,10 @@
     st.tuples(st.just("list"), st.integers(1, 4), st.sampled_from(list(ServerState))),
     st.tuples(st.just("leave"), st.integers(0, 50)),
 )
+CHANGES = st.tuples(
+    st.just("change"), st.integers(2, 6), st.sampled_from([0.5, 1.0, 2.0]),
+    st.sets(st.sampled_from([p.name for p in SETTINGS.plans if p.name != "ceiling"]), max_size=2),
+    st.sets(st.sampled_from(NAMES[1:]), max_size=2))
 
 
 class Checker(Rig):
@@ -25,7 +31,8 @@
     def __init__(self):
         super().__init__()
         self.info, self.out, self.maybe, self.ready, self.over = {}, {}, {}, set(), set()
-        self.drawn = []
+        self.store, self.store_at, self.share = 0.0, self.now, 10.0  # of the ceiling; at its half of 20 units
+        self.rate = 5.0
 
     def do(self, event):
         before = {name: len(sent) for name, sent in self.sent.items()}
@@ -48,10 +55,9 @@
                 assert self.now - self.maybe[name] < kind.key_memory_ms
         self.out[name] = (len(sent) - 1, sent[-1], self.now)
         if before == 0 and plan == "ceiling":
-            self.drawn.append((self.now, units))
-            for start, _ in self.drawn:
-                total = sum(u for t, u in self.drawn if t >= start)
-                assert total <= 10.0 + 5.0 * (self.now - start) / 1000.0 + 1e-6
+            self.refill()
+            self.store -= units
+            assert self.store >= -1e-6
 
     def check_answer(self, name):
         kind, _, _, deadline = self.info[name]
@@ -61,11 +67,32 @@
         if self.answers[name] == "Refuse" and doubt:
             assert kind.effect is Effect.SAFE or kind.name == "keyed-all"
 
+    def refill(self):
+        """The share of the ceiling's store as it should be at most."""
+        filled = self.store + self.rate * (self.now - self.store_at) / 1000.0
+        self.store, self.store_at = min(self.share, filled), self.now
+
+    def change(self, gateways, factor, plans, classes):
+        """New settings: another number of gateways, another ceiling, without some plans and classes."""
+        self.refill()
+        ceiling = next(plan for plan in SETTINGS.plans if plan.name == "ceiling")
+        rate, burst = ceiling.ceiling_rate * factor, ceiling.ceiling_burst * factor
+        self.do(NewSettings(replace(
+            SETTINGS, gateways=gateways,
+            plans=tuple(replace(p, ceiling_rate=rate, ceiling_burst=burst) if p is ceiling else p
+                        for p in SETTINGS.plans if p.name not in plans),
+            classes=tuple(c for c in SETTINGS.classes if c.name not in classes))))
+        self.rate, self.share = rate / 2.0, burst / 2.0  # requests name a width of two
+        self.store = min(self.store, self.share)
+
     def step(self, step):
-        if step[0] == "ask":
+        if step[0] == "change":
+            self.change(*step[1:])
+        elif step[0] == "ask":
             _, plan, class_name, patience, units = step
             name = f"r{self.count + 1}"
-            self.info[name] = (self.gateway.classes[class_name], plan, units, self.now + patience)
+            kind = next(item for item in SETTINGS.classes if item.name == class_name)
+            self.info[name] = (kind, plan, units, self.now + patience)
             self.ask(plan, class_name, patience=patience, units=units)
         elif step[0] == "wait":
             self.run(step[1])
@@ -91,9 +118,19 @@
         self.do(Outcome(name, number, server, status, self.now - sent, closed))
 
 
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.lists(st.one_of(STEPS, CHANGES), min_size=5, max_size=60))
+def test_rules_hold_while_the_settings_change_at_any_moment(steps):
+    check(steps)
+
+
 @settings(max_examples=150, deadline=None, derandomize=True)
 @given(st.lists(STEPS, min_size=5, max_size=60))
 def test_rules_hold_and_every_request_is_answered(steps):
+    check(steps)
+
+
+def check(steps):
     checker = Checker()
     for number in (1, 2):
         checker.step(("list", number, ServerState.READY))
