--- a/brackenloft/net/reload.py
+++ b/brackenloft/net/reload.py
@@ -95,8 +95,9 @@
         await self.up.wait()
         while self.signalled:
             self.signalled = False
+            before = self.revision
             yes, text = await self._reload(READINGS, None)
-            if yes:
+            if yes and self.revision == before:  # else the change itself, or the refusal, was logged
                 log.info("SIGHUP: %s", text)
 
     # ---- Calls
