Let others have their turn between reading and taking over; test reloads as processes

Need: the longest time that a reload holds the loop, with ten thousand customers. Change: the list of servers is not written out again on a reload, and reading and commit are two steps of the loop.

--- a/brackenloft/config.py
+++ b/brackenloft/config.py
@@ -89,7 +89,9 @@
     override; but on a reload the file's discovery does, as EDGE_DISCOVERY is of the start.
     """
     document, found = parse(raw), Found()
-    known = json.dumps(document.pop("known", None))  # a list never stops a gateway: checked where it is used
+    # Discovery's list never stops a gateway, and is of use at the start only: it is checked where it is used.
+    listed = document.pop("known", None)
+    known = "null" if reload else json.dumps(listed)
     found.walk("", document)
     for variable, name in VARIABLES.items():
         if environment.get(variable) and document.get(name) is None:
--- a/brackenloft/net/reload.py
+++ b/brackenloft/net/reload.py
@@ -163,6 +163,7 @@
 
     async def _take(self, trial_s: float | None) -> Answer:
         config = read(read_file(self.environment["EDGE_CONFIG"]), self.environment, reload=True)
+        await asyncio.sleep(0)  # others have their turn between reading and taking over
         faults = config.unchangeable(self.config)
         if faults:
             raise ConfigError(faults)
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -8,7 +8,7 @@
 import socket
 import sys
 import tomllib
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
 import pytest
@@ -346,3 +346,83 @@
                 assert await (await connect(port)).ask(call(3)) == b"v" and new.returncode is None
 
     run(test())
+
+
+def faster(path, **plan) -> None:
+    """The file, with another plan."""
+    document = json.loads(path.read_text())
+    document["settings"]["tariffs"][0].update(plan)
+    path.write_text(json.dumps(document))
+
+
+def test_configuration_is_changed_tried_and_taken_back_through_the_door(tmp_path):
+    async def test():
+        server, port = await FakeServer(lambda words: array(b"v")).start(), free_port()
+        async with program(tmp_path, server, EDGE_ADMIN=f"127.0.0.1:{port}") as (process, clients, _):
+            await healthy(port)
+            path = tmp_path / "config.json"
+            faster(path, refill=-1)
+            assert "settings.tariffs[0].refill: -1, want a number" in await tell(port, "RELOAD")
+            faster(path, refill=5.0, most_at_once=50.0)
+            assert (await tell(port, "RELOAD CONFIRM 60")).startswith("YES revision 2, 2 changes")
+            assert "on trial for" in await tell(port, "CONFIG")
+            assert await (await connect(clients)).ask(call(1)) == b"v"
+            assert (await tell(port, "ROLLBACK")).startswith("YES revision 3")
+            assert (await tell(port, "CONFIG")).startswith("YES revision 3")
+            assert process.returncode is None
+
+    run(test())
+
+
+def test_way_back_after_an_upgrade_is_the_new_processs_own(tmp_path):
+    async def test():
+        server, door = await FakeServer(lambda words: array(b"v")).start(), free_port()
+        async with program(tmp_path, server, EDGE_ADMIN=f"127.0.0.1:{door}") as (old, port, found):
+            await healthy(door)
+            path = tmp_path / "config.json"
+            faster(path, refill=5.0, most_at_once=50.0)
+            assert (await tell(door, "RELOAD")).startswith("YES revision 2")
+            peer = await connect(port)
+            assert await peer.ask(call(1)) == b"v"
+            async with next_process(tmp_path, port, found) as (new, new_door):
+                await healthy(new_door)
+                for line in ("RELOAD", "ROLLBACK", "CONFIRM"):
+                    assert (await tell(door, line)).startswith("NO")  # the old one changes nothing any more
+                old.send_signal(signal.SIGHUP)
+                assert (await tell(new_door, "CONFIG")).startswith("YES revision 1")
+                assert "nothing to go back to" in await tell(new_door, "ROLLBACK")
+                faster(path, refill=6.0)
+                assert (await tell(new_door, "RELOAD")).startswith("YES revision 2")
+                assert (await tell(new_door, "ROLLBACK")).startswith("YES revision 3")
+                assert await peer.ask(call(2)) == b"v"
+                old.send_signal(signal.SIGTERM)
+                assert await old.wait() == 0
+                assert await (await connect(port)).ask(call(3)) == b"v" and new.returncode is None
+
+    run(test())
+
+
+def test_sighup_never_ends_it_before_it_serves_in_a_drain_or_while_it_stops(tmp_path):
+    async def test():
+        server, door = await FakeServer(lambda words: array(b"v")).start(), free_port()
+        async with program(tmp_path, server, EDGE_ADMIN=f"127.0.0.1:{door}") as (process, port, found):
+            while not await tell(door, "HEALTH"):  # the door opens before it serves
+                await asyncio.sleep(0.001)
+            process.send_signal(signal.SIGHUP)
+            await healthy(door)
+            assert (await tell(door, "LEAVE")).startswith("YES")
+            moved = await FakeDiscovery().start()
+            path = tmp_path / "config.json"
+            path.write_text(json.dumps({
+                **json.loads(path.read_text()), "discovery": f"127.0.0.1:{moved.port}"}))
+            process.send_signal(signal.SIGHUP)
+            await moved.watch()
+            assert "drained" in await tell(door, "HEALTH")
+            process.send_signal(signal.SIGTERM)
+            while process.returncode is None:
+                with suppress(ProcessLookupError):
+                    process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.02)
+            assert await process.wait() == 0
+
+    run(test())
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -486,3 +486,19 @@
     assert len(lines) >= 2
     assert "settings.tariffs[free].refill 0.0 -> 3.0" in lines[-2] and "revision 2" in lines[-2]
     assert "refused, revision 2 stays: settings.tariffs[0].refill: -3.0, want a number" in lines[-1]
+
+
+@pytest.mark.parametrize("content", [b"", b'{"name": "n', b" " * 10 * 1024 * 1024, None, "a folder"])
+def test_file_that_is_none_is_refused_within_the_time_of_a_call_and_changes_nothing(tmp_path, content):
+    async def test():
+        async with configured(tmp_path) as made:
+            before = made.state()
+            made.path.unlink()
+            if isinstance(content, bytes):
+                made.path.write_bytes(content)
+            elif content:
+                made.path.mkdir()
+            answer = await made.tell("RELOAD")
+            assert answer.startswith("NO refused, revision 1 stays: ") and made.state() == before
+
+    run(test())
