Prefer, among servers of like cost, one with an idle connection, by a handshake's price

Change: net/ tells the decisions when a server's first connection becomes idle, or none is (Linked); a server without one costs more by the handshake's price, in the unit in which a failure is weighed.

--- a/brackenloft/__init__.py
+++ b/brackenloft/__init__.py
@@ -19,6 +19,7 @@
     HandOver,
     KeyScope,
     Limits,
+    Linked,
     ListKind,
     Log,
     NewSettings,
@@ -51,8 +52,8 @@
 __all__ = [
     "Action", "Admit", "Cancel", "ClientGone", "CloseIdle", "Contract", "CounterAdd", "CounterReply",
     "DiscoveryMode", "Drain", "Effect", "Elsewhere", "Event", "Fail", "FetchList", "Gateway", "HandOver",
-    "KeyScope", "Limits", "ListKind", "Log", "NewSettings", "OtherGone", "Outcome", "PeerMessage", "Plan",
-    "Probe", "ProbeResult", "Refuse", "Request", "RequestClass", "Send", "ServerByHand", "ServerEntry",
-    "ServerList", "ServerState", "SetTimer", "Settings", "SetUsable", "Status", "Stopping",
-    "StreamStarted", "Subscribe", "TellPeer", "TimerFired",
+    "KeyScope", "Limits", "Linked", "ListKind", "Log", "NewSettings", "OtherGone", "Outcome",
+    "PeerMessage", "Plan", "Probe", "ProbeResult", "Refuse", "Request", "RequestClass", "Send",
+    "ServerByHand", "ServerEntry", "ServerList", "ServerState", "SetTimer", "Settings", "SetUsable",
+    "Status", "Stopping", "StreamStarted", "Subscribe", "TellPeer", "TimerFired",
 ]
--- a/brackenloft/interface.py
+++ b/brackenloft/interface.py
@@ -187,10 +187,12 @@
     counter_timeout_ms: float = 0.0
     tick_ms: float = 1.0
     cross_zone_price: float = 0.0
+    handshake_price: float = 0.0
 
     def __post_init__(self) -> None:
         _check(self, 1, "gateways")
-        _check(self, 0.0, "index", "meter_period_ms", "counter_timeout_ms", "tick_ms", "cross_zone_price")
+        _check(self, 0.0, "index", "meter_period_ms", "counter_timeout_ms", "tick_ms", "cross_zone_price",
+               "handshake_price")
         _refuse_if(self.index >= self.gateways, self, "index", "is not below the number of gateways")
         _check(self, 0.0, "largest_units")
         _refuse_if(self.largest_units <= 0, self, "largest_units", "is nothing")
@@ -324,6 +326,14 @@
     settings: Settings
 
 
+@dataclass(frozen=True, slots=True)
+class Linked:
+    """Whether a connection to a server stands idle: an attempt there costs no handshake."""
+
+    server: int
+    idle: bool
+
+
 @dataclass(frozen=True, slots=True)
 class HandOver:
     """The next process takes over: what is in hand here is reserved there, and its ends are told."""
@@ -366,7 +376,7 @@
 Event = (
     ServerList | Request | Outcome | StreamStarted | ClientGone | TimerFired
     | ProbeResult | PeerMessage | CounterReply | Stopping | ServerByHand | Drain
-    | HandOver | Elsewhere | OtherGone | NewSettings
+    | HandOver | Elsewhere | OtherGone | NewSettings | Linked
 )
 
 
--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -30,6 +30,7 @@
     Fail,
     HandOver,
     KeyScope,
+    Linked,
     ListKind,
     Log,
     NewSettings,
@@ -135,11 +136,12 @@
     """What this gateway knows of one server."""
 
     __slots__ = ("id", "zone", "cell", "ready", "started", "out", "ratio", "ratio_at", "queue", "queue_at",
-                 "marks", "phase", "listed", "back", "owed_at")
+                 "marks", "phase", "listed", "back", "owed_at", "linked")
 
     def __init__(self, entry: ServerEntry, phase: float) -> None:
         self.phase = phase
         self.id = entry.server
+        self.linked = False  # a connection stands idle
         self.back, self.owed_at = 0.0, inf  # when it was put back by hand, and when it must be used for that
         self.out: set[tuple[str, int]] = set()  # attempts out
         self.reset()
@@ -204,6 +206,7 @@
         self.by_hand: set[int] = set()  # servers that an operator took out, listed or not
         self.drains = 0  # how many times the drain began or ended: timers of an older one do nothing
         self.handed = False  # the next process has taken over
+        self.pooled = False  # whether it is told which servers have an idle connection
         self.draining = self.left = False  # whether a drain is on, and whether its last step has come
         self.ready: list[Server] = []
         self.cold: list[Server] = []
@@ -217,7 +220,7 @@
             ProbeResult: self._on_probe, Stopping: self._on_stopping,
             ServerByHand: self._on_hand, Drain: self._on_drain,
             HandOver: self._on_hand_over, Elsewhere: self._on_elsewhere, OtherGone: self._on_other_gone,
-            NewSettings: self.changes.on_settings,
+            NewSettings: self.changes.on_settings, Linked: self._on_linked,
         }
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
@@ -458,6 +461,8 @@
         load = 1.0 + len(server.out) + QUEUE_WEIGHT * server.queue * self._fade(server.queue_at)
         ratio = 1.0 + (server.ratio - 1.0) * self._fade(server.ratio_at)
         cost = ratio * load * (1.0 + DOUBT_COST * self._doubt(flight, server))
+        if self.pooled and not server.linked:  # a share of a request's worth, as a failure is, and paid once
+            cost += DOUBT_COST * self.settings.handshake_price
         cost *= self._warmth(server)  # who comes in the turn of a cold server should take it
         if server.zone != self.settings.zone:
             cost *= 1.0 + CROSS_WEIGHT * self.settings.cross_zone_price
@@ -709,6 +714,11 @@
         self._learn(server, flight.kind, event.latency_ms)
         self.retry_parked()
 
+    def _on_linked(self, event: Linked) -> None:
+        self.pooled, server = True, self.servers.get(event.server)
+        if server:
+            server.linked = event.idle
+
     def _on_probe(self, event: ProbeResult) -> None:
         server = self.servers.get(event.server)
         if server:
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -62,6 +62,7 @@
         self.order = count()
         self.alarm: tuple[float, asyncio.TimerHandle] | None = None
         self.loop = asyncio.get_running_loop()
+        servers.on_linked = self.post
         self.on_elsewhere: Callable[[api.Elsewhere], None] = lambda _: None  # set by who hands over
         self.on_admit: Callable[[api.Admit], None] = lambda _: None  # set by who holds the clients
         self.actions: dict[type, Callable[[Any], None]] = {
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -141,7 +141,7 @@
 class Host:
     """A server as discovery last told it. Each change that makes old connections useless is an epoch."""
 
-    __slots__ = ("number", "address", "started", "listed", "ready", "idle", "epoch")
+    __slots__ = ("number", "address", "started", "listed", "ready", "idle", "epoch", "told")
 
     def __init__(self, number: int) -> None:
         self.number = number
@@ -149,6 +149,7 @@
         self.started, self.epoch = 0.0, 0
         self.listed = self.ready = False  # ready: listed so, and not held
         self.idle: list[Connection] = []  # the most recently used last
+        self.told = False  # whether the decisions think that one is idle
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -396,6 +397,7 @@
         self.connections: set[Connection] = set()
         self.buffer = memoryview(bytearray(READ))
         self.passing = 0  # long values on their way
+        self.on_linked: Callable[[api.Linked], None] = lambda _: None  # set by who tells the decisions
         self.retell(settings, most_connections)
         self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
@@ -466,6 +468,7 @@
             connection = host.idle.pop()
             if connection.alive():
                 connection.send(attempt)
+                self._tell(host)
                 return
             connection.close(api.Status.RESET)
         self._connect(host, attempt)
@@ -509,6 +512,13 @@
             return
         connection.idle_since = self.loop.time()
         connection.host.idle.append(connection)
+        self._tell(connection.host)
+
+    def _tell(self, host: Host) -> None:
+        """Tell the decisions when the first connection becomes idle, or none is any more."""
+        if host.told != bool(host.idle):
+            host.told = not host.told
+            self.on_linked(api.Linked(host.number, host.told))
 
     def hand_over(self) -> None:
         """Pass on what is idle."""
@@ -543,6 +553,7 @@
         self.connections.discard(connection)
         with suppress(ValueError):
             connection.host.idle.remove(connection)
+        self._tell(connection.host)
 
     def _sweep(self) -> None:
         """Retire idle connections well before the server does, which would reset a request written then."""
--- a/brackenloft/settings.py
+++ b/brackenloft/settings.py
@@ -79,7 +79,7 @@
     info, load, prices = env.table("family_info"), env.table("load_info"), env.table("deductions")
     info.knows("call_price", "inbox_per_s")
     load.knows("how")
-    prices.knows("connection", "discovery", "fleet", "handshake", "late_fail", "moves", "origin", "peer",
+    prices.knows("connection", "discovery", "fleet", "late_fail", "moves", "origin", "peer",
                  "probe", "waste")
     env.knows("client_habits", "family", "goal", "kinds", "tier", "tiers", "weight_kind", "zones")
     general: Fields = {
@@ -90,6 +90,7 @@
         "settles": info.flag("settles"), "has_counter": info.flag("has_counter"),
         "counter_timeout_ms": info.number("count_limit_ms"), "tick_ms": env.number("tick_ms"),
         "cross_zone_price": prices.number("cross_zone"),
+        "handshake_price": prices.number("handshake", default=0.0),
     }
     env.must(general["index"] < general["gateways"], "slot_no", "a number below balancers")
     return general
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,92 @@
+"""The choice of a server knows whether a connection to it stands idle."""
+
+from dataclasses import replace
+
+from conftest import SETTINGS, Rig, entry
+from fakes import FakeServer, array, call, node, run, until
+
+from brackenloft import CloseIdle, Linked, ServerByHand, Status
+
+
+def a_rig(price: float, count: int = 6) -> Rig:
+    rig = Rig(replace(SETTINGS, handshake_price=price))
+    rig.servers(*(entry(number) for number in range(1, count + 1)))
+    return rig
+
+
+def chosen(rig: Rig, count: int = 40) -> list[int]:
+    """Servers of so many requests, one after the other, all equally quick."""
+    servers = []
+    for _ in range(count):
+        name = rig.ask()
+        servers.append(rig.sent[name][0])
+        rig.finish(name, latency=rig.gateway.latency["safe"])
+        rig.run(20.0)
+    return servers
+
+
+def test_among_servers_of_like_cost_one_with_an_idle_connection_comes_first():
+    rig = a_rig(0.05)
+    rig.do(Linked(4, True))
+    assert set(chosen(rig)) == {4}
+    rig.do(Linked(4, False))
+    rig.do(Linked(2, True))
+    assert set(chosen(rig)) == {2}
+
+
+def test_where_a_handshake_costs_nothing_idle_connections_do_not_count():
+    rig = a_rig(0.0)
+    rig.do(Linked(4, True))
+    assert set(chosen(rig)) == {1, 2, 3, 4, 5, 6}
+
+
+def test_price_that_is_told_changes_nothing_while_nobody_tells_of_connections():
+    assert chosen(a_rig(0.05)) == chosen(a_rig(0.0))
+
+
+def test_server_that_is_busy_or_fails_loses_in_spite_of_its_idle_connection():
+    rig = a_rig(0.05, count=2)
+    rig.do(Linked(1, True))
+    names = [rig.ask() for _ in range(4)]
+    assert {rig.sent[name][0] for name in names} == {1, 2}
+    for name in names:
+        rig.finish(name)
+    for _ in range(12):
+        name = rig.ask()
+        rig.finish(name, Status.ERROR if rig.sent[name][0] == 1 else Status.OK)
+        while name not in rig.answers:
+            rig.finish(name)
+    assert chosen(rig, 3) == [2, 2, 2]
+
+
+def test_news_of_a_server_that_nobody_lists_is_ignored():
+    rig = a_rig(0.05)
+    assert not rig.do(Linked(99, True))
+
+
+def test_decisions_hear_of_every_change_of_what_stands_idle_and_of_nothing_else():
+    async def test():
+        server = FakeServer(lambda words: None if words[2].endswith(b"1") else array(b"v"))
+        async with node(server) as gateway:
+            known, told = gateway.driver.gateway.servers, []
+            post = gateway.servers.on_linked
+            gateway.servers.on_linked = lambda news: (told.append(news.idle), post(news))
+            peer, other = await gateway.peer(), await gateway.peer()
+            assert await peer.ask(call(2)) == b"v" and told == [True] and known[1].linked
+            peer.send(call(1))  # in use
+            await server.until(lambda: len(server.commands) == 2)
+            assert told == [True, False] and not known[1].linked
+            assert await other.ask(call(3)) == b"v" and known[1].linked
+            server.writers[0].write(array(b"late"))
+            assert await peer.reply() == b"late"
+            assert told == [True, False, True]  # a second idle one is no news
+            gateway.driver._perform(CloseIdle(1))
+            assert told == [True, False, True, False] and not known[1].linked
+            assert await other.ask(call(4)) == b"v" and known[1].linked
+            server.writers[-1].close()  # its end comes
+            await until(lambda: not known[1].linked)
+            assert await other.ask(call(5)) == b"v" and known[1].linked
+            gateway.driver.post(ServerByHand(1, True))
+            assert not known[1].linked
+
+    run(test())
