Show at the door what the connections towards servers are doing: POOLS

Need: nobody saw how many connections stand open, how often one is reused, or that attempts found no room. Change: net/servers.py counts handshakes, reuses, idle connections closed for want of room and attempts turned away; POOLS tells them with what is open, idle and opening, and begins the counts anew.

--- a/brackenloft/net/operators.py
+++ b/brackenloft/net/operators.py
@@ -28,7 +28,7 @@
     def calls(self) -> dict[str, Handler]:
         """By name."""
         return {"HEALTH": self.health, "OFFLINE": self.offline, "ONLINE": self.online,
-                "LEAVE": self.leave, "JOIN": self.join}
+                "LEAVE": self.leave, "JOIN": self.join, "POOLS": self.pools}
 
     async def health(self, _: str) -> Answer:
         """Whether this process can serve; it can while the gateway is drained, too."""
@@ -39,6 +39,10 @@
         drained = "drained" if self.gateway.draining else "serving"
         return True, f"{drained}, {len(self.gateway.by_hand)} servers out"
 
+    async def pools(self, _: str) -> Answer:
+        """What the connections towards servers are doing."""
+        return True, self.driver.servers.look()
+
     async def offline(self, name: str) -> Answer:
         """Take a server out."""
         await self.up.wait()
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -397,6 +397,9 @@
         self.connections: set[Connection] = set()
         self.buffer = memoryview(bytearray(READ))
         self.passing = 0  # long values on their way
+        # Since the last look: connections begun, attempts on one that stood idle, idle ones closed for want
+        # of room, attempts that found no room.
+        self.handshakes = self.reuses = self.evicted = self.no_room = 0
         self.on_linked: Callable[[api.Linked], None] = lambda _: None  # set by who tells the decisions
         self.retell(settings, most_connections)
         self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
@@ -468,6 +471,7 @@
             connection = host.idle.pop()
             if connection.alive():
                 connection.send(attempt)
+                self.reuses += 1
                 self._tell(host)
                 return
             connection.close(api.Status.RESET)
@@ -476,8 +480,10 @@
     def _connect(self, host: Host, attempt: Attempt) -> None:
         full = len(self.connections) + self.elsewhere >= self.most_connections
         if full and not self._evict():
+            self.no_room += 1
             attempt.finish(Reply(api.Status.CONNECT_FAILED))
             return
+        self.handshakes += 1
         connection = Connection(self, host, attempt)
         self.connections.add(connection)
         connection.task = self.loop.create_task(connection.open())
@@ -487,9 +493,22 @@
         idle = [host.idle[0] for host in self.hosts.values() if host.idle]
         oldest = min(idle, key=lambda connection: connection.idle_since, default=None)
         if oldest:
+            self.evicted += 1
             oldest.close(api.Status.RESET)
         return oldest is not None
 
+    def look(self) -> str:
+        """What the pools hold, and what they have done since the last look."""
+        held = len(self.connections)
+        idle = sum(len(host.idle) for host in self.hosts.values())
+        opening = sum(connection.transport is None for connection in self.connections)
+        counts = (f"{self.handshakes} handshakes, {self.reuses} reuses, {self.evicted} evicted, "
+                  f"{self.no_room} turned away for want of room since the last look")
+        self.handshakes = self.reuses = self.evicted = self.no_room = 0
+        passed = f", {self.elsewhere} in the process before" if self.elsewhere else ""
+        return (f"{held} open ({idle} idle, {opening} opening) of {self.most_connections}{passed} "
+                f"to {len(self.hosts)} servers; {counts}")
+
     def stop(self, attempt: Attempt, status: api.Status) -> None:
         """Stop waiting: the connection is closed, then the outcome told. One not up yet never ran."""
         connection = attempt.connection
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -6,6 +6,9 @@
 from fakes import FakeServer, array, call, node, run, until
 
 from brackenloft import CloseIdle, Linked, ServerByHand, Status
+from brackenloft.net import servers as module
+from brackenloft.net.discovery import Roster
+from brackenloft.net.operators import Operators
 
 
 def a_rig(price: float, count: int = 6) -> Rig:
@@ -90,3 +93,41 @@
             assert not known[1].linked
 
     run(test())
+
+
+def test_pools_are_shown_at_the_door_and_counted_from_look_to_look():
+    async def test():
+        server = FakeServer(lambda words: None if words[2].endswith(b"1") else array(b"v"))
+        async with node(server, most_connections=2) as gateway:
+            calls = Operators(gateway.driver, gateway.clients, Roster(), None).calls()
+            peer, other = await gateway.peer(), await gateway.peer()
+            for number in (2, 3, 4):
+                assert await peer.ask(call(number)) == b"v"
+            assert await calls["POOLS"]("") == (True, (
+                "1 open (1 idle, 0 opening) of 2 to 1 servers; 1 handshakes, 2 reuses, 0 evicted, "
+                "0 turned away for want of room since the last look"))
+            peer.send(call(1), call(17))
+            await server.until(lambda: len(server.commands) == 5)
+            assert "-BUSY" in await other.ask(call(5))  # no room for a third
+            text = (await calls["POOLS"](""))[1]
+            assert text.startswith("2 open (0 idle, 0 opening) of 2 to 1 servers; 1 handshakes, 1 reuses")
+            assert " 0 turned" not in text
+            assert "0 handshakes, 0 reuses, 0 evicted, 0 turned away" in (await calls["POOLS"](""))[1]
+
+    run(test())
+
+
+def test_idle_connection_closed_to_make_room_is_counted():
+    async def test():
+        servers = [FakeServer(lambda words: None), FakeServer(lambda words: array(b"v"))]
+        async with node(*servers, most_connections=1) as gateway:
+            gateway.driver.post(ServerByHand(1, True))
+            peer = await gateway.peer()
+            assert await peer.ask(call(2)) == b"v"
+            gateway.driver.post(ServerByHand(1, False))
+            gateway.servers.look()
+            ping = module.Attempt(b"*1\r\n$4\r\nPING\r\n", lambda reply: None)
+            gateway.servers.start(1, ping)
+            assert "1 handshakes, 0 reuses, 1 evicted" in gateway.servers.look()
+
+    run(test())
