Hold SIGHUP from the first line of main to the very end: a late one ended the process

Cause: the loop's own handler gives way to the default as the loop closes (add_signal_handler in serve). Ruled out: a gap at the start (the first signal is sent once the door answers); blocking the signal at the end of serve. Change: a handler of the program's own from main on, ignored before the interpreter finalizes.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -10,7 +10,6 @@
 import signal
 import socket
 import sys
-import threading
 import time
 from collections.abc import Callable, Mapping, Sequence
 
@@ -80,8 +79,42 @@
     return None
 
 
-async def serve(config: Config, hung_up: threading.Event) -> None:
-    """Serve until SIGTERM, then see to what was taken and return. ``hung_up``: SIGHUP came before."""
+class HangUp:
+    """SIGHUP, from the start of the program to its very end.
+
+    Guards against a signal that ends the process: the loop's own handlers come late, and as the loop closes
+    they give way to the default, which is to die.
+    """
+
+    def __init__(self) -> None:
+        self.came = False
+        self.tell: Callable[[], object] = self._nobody
+        signal.signal(signal.SIGHUP, self._handle)
+
+    def _handle(self, *_: object) -> None:
+        self.came = True
+        self.tell()
+
+    def _nobody(self) -> None:
+        pass
+
+    def follow(self, tell: Callable[[], object]) -> None:
+        """Tell each signal from now on, and one that came before."""
+        self.tell = tell
+        if self.came:
+            tell()
+
+    def leave(self) -> None:
+        """Tell nobody any more."""
+        self.tell = self._nobody
+
+    def ignore(self) -> None:
+        """At the end of the program, whose finalization restores the default of any handler."""
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
+async def serve(config: Config, hang_up: HangUp) -> None:
+    """Serve until SIGTERM, then see to what was taken and return."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
@@ -104,9 +137,7 @@
     door = admin.Door(operators.calls())
     reload = Reload(config, os.environ, driver, servers, clients, discovery, door, handover)
     door.calls.update(reload.calls())
-    loop.add_signal_handler(signal.SIGHUP, reload.signal)
-    if hung_up.is_set():
-        reload.signal()
+    hang_up.follow(lambda: loop.call_soon_threadsafe(reload.signal))
     if config.admin:
         await door.listen(*config.admin)
     passed = _passed(dict(os.environ), config.listen)
@@ -128,8 +159,7 @@
     door.close()
     watching.cancel()
     servers.close()
-    # The loop gives the signal back its default as it closes: a late one must not end this process by it.
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    hang_up.leave()
 
 
 async def _leave(
@@ -184,8 +214,7 @@
             print("usage: python -m brackenloft [--check FILE]", file=sys.stderr)
             return BAD_CONFIGURATION
         return _check(arguments[1])
-    hung_up = threading.Event()
-    signal.signal(signal.SIGHUP, lambda *_: hung_up.set())
+    hang_up = HangUp()
     logging.basicConfig(
         stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s")
     for handler in logging.getLogger().handlers:
@@ -196,7 +225,8 @@
     if config.unknown:
         log.warning("unknown in the configuration, not read: %s", told(list(config.unknown)))
     gc.freeze()
-    uvloop.run(serve(config, hung_up))
+    uvloop.run(serve(config, hang_up))
+    hang_up.ignore()
     return 0
 
 
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -422,7 +422,7 @@
             while process.returncode is None:
                 with suppress(ProcessLookupError):
                     process.send_signal(signal.SIGHUP)
-                await asyncio.sleep(0.02)
+                await asyncio.sleep(0.0005)  # to its very last moment
             assert await process.wait() == 0
 
     run(test())
