Record events and actions of the decisions, and play them against another version

Need: the decisions are about to be moved into a package; nothing could show that each action stays the same. Change: a recorder on the simulator's wire (sim FOLDER) and a driver of random events (drive FILE) write one line an event (msgspec); play compares action by action and names the first difference, or says that the file is cut off; time compares the CPU of two trees in turn; scale gives a decision's time by size. The adapter's host is told how a gateway is made; nothing of it is loaded by run or sim.

--- a/brackenloft/adapter.py
+++ b/brackenloft/adapter.py
@@ -9,7 +9,7 @@
 import json
 import sys
 from collections.abc import Callable
-from typing import Any, TextIO
+from typing import Any, Protocol, TextIO
 
 from brackenloft import interface as api
 from brackenloft.logic import Gateway
@@ -86,12 +86,27 @@
 }
 
 
+class Handles(Protocol):
+    """A gateway, or one that is recorded."""
+
+    def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
+        """As ``Gateway.handle``."""
+
+
+Make = Callable[[str, api.Settings, int], Handles]
+
+
+def plain(_: str, settings: api.Settings, seed: int) -> Handles:
+    """A gateway of which nothing is recorded."""
+    return Gateway(settings, seed)
+
+
 class Host:
     """The gateways of one process and the server lists that the wire has declared to it."""
 
-    def __init__(self) -> None:
-        self.now_ms = 0.0
-        self.gateways: dict[str, Gateway] = {}
+    def __init__(self, make: Make) -> None:
+        self.make, self.now_ms = make, 0.0
+        self.gateways: dict[str, Handles] = {}
         self.lists: dict[int, tuple[api.ServerEntry, ...]] = {}
         self.reply: list[str] = []
 
@@ -113,7 +128,7 @@
         if name == "OpenInstance":
             env = fields["env"]
             settings = settings_from(json.loads(env) if isinstance(env, str) else env)
-            self.gateways[instance] = Gateway(settings, fields["rng_seed"])
+            self.gateways[instance] = self.make(instance, settings, fields["rng_seed"])
         elif name == "Destroy":
             self.gateways.pop(instance, None)
         elif name == "Discovery":
@@ -161,9 +176,9 @@
         raise WireError(f"{name}: {error}") from None
 
 
-def serve(source: TextIO, sink: TextIO) -> None:
+def serve(source: TextIO, sink: TextIO, make: Make = plain) -> None:
     """Answer batches until the input ends."""
-    host = Host()
+    host = Host(make)
     for line in source:
         if line.strip() and _take(host, line):
             sink.write("\n".join(host.reply) + "\n")
@@ -171,10 +186,10 @@
             host.reply.clear()
 
 
-def main() -> int:
+def main(make: Make = plain) -> int:
     """Run the adapter; 0 at the end of input, 1 with a message on what is malformed."""
     try:
-        serve(sys.stdin, sys.stdout)
+        serve(sys.stdin, sys.stdout, make)
     except WireError as error:
         print(f"brackenloft adapter: {error}", file=sys.stderr)
         return 1
--- /dev/null
+++ b/tests/test_recording.py
@@ -0,0 +1,77 @@
+"""Recordings: the same decisions play them through, another decision is found, a torn file is told."""
+
+import io
+import sys
+from pathlib import Path
+
+import pytest
+
+from brackenloft.recording import __main__ as command
+from brackenloft.recording.codec import HEAD, Recorder, RecordingError, play
+from brackenloft.recording.drive import drive
+
+SMALL = Path(__file__).parent / "recordings" / "small.jsonl"  # made by README's command
+
+
+def recorded(seed: int, gateways: int, steps: int) -> list[bytes]:
+    sink = io.BytesIO()
+    recorder = Recorder(sink)
+    drive(recorder.open, seed, gateways, steps)
+    recorder.close()
+    return sink.getvalue().splitlines(keepends=True)
+
+
+def test_a_recording_from_before_gives_the_same_actions():
+    with open(SMALL, "rb") as source:
+        played = play(iter(source))
+    assert played.difference == "" and played.same and played.events >= 300
+
+
+def test_one_changed_action_among_a_hundred_thousand_is_found():
+    lines = recorded(seed=7, gateways=16, steps=5000)
+    played = play(iter(lines))
+    assert played.same and played.actions >= 100_000
+    number = max(n for n, line in enumerate(lines) if b'"Send",{' in line and n < 0.9 * len(lines))
+    head, sent = lines[number].rsplit(b'"server":', 1)
+    lines[number] = head + b'"server":9' + sent
+    played = play(iter(lines))
+    assert not played.same and played.difference.startswith(f"line {number + 1}: ")
+
+
+@pytest.mark.parametrize("kept, events", [(1.0, 30), (0.5, 29)], ids=["between lines", "within a line"])
+def test_a_recording_cut_off_is_compared_as_far_as_it_goes(kept, events):
+    lines = recorded(seed=3, gateways=1, steps=100)
+    last = lines[31]
+    played = play(iter([*lines[:31], last[:int(len(last) * kept)]]))
+    assert played.events == events and not played.difference and not played.whole and not played.same
+
+
+@pytest.mark.parametrize("lines, error", [
+    ([], "line 1: not the head"),
+    ([b"{}\n"], "line 1: not the head"),
+    ([HEAD + b"\n", b'["event"\n', b"[]\n"], "line 2: DecodeError"),
+    ([HEAD + b"\n", b'["event","g",1,"Drain",{"active":true},[]]\n'], "line 2: KeyError: 'g'"),
+    ([HEAD + b"\n", b'["open","g",1,{"gateways":0}]\n'], "line 2: ValidationError"),
+    ([HEAD + b"\n", b'["end",3]\n'], "line 2: ValueError: 0 events, the end says 3"),
+    ([HEAD + b"\n", b"7\n"], "line 2: ValueError: 7 is no line"),
+])
+def test_what_is_no_recording_is_told_by_its_line(lines, error):
+    with pytest.raises(RecordingError, match="^" + error):
+        play(iter(lines))
+
+
+@pytest.mark.parametrize("damage, code, said", [
+    (lambda data: data, 0, "the same"),
+    (lambda data: data[:-40], 1, "cut off after"),
+    (lambda data: data.replace(b'"delay_ms":', b'"delay_ms":1', 1), 1, "NOT the same"),
+    (lambda data: b"x" + data, 2, "not the head"),
+])
+def test_the_command_says_how_it_went(tmp_path, monkeypatch, capsys, damage, code, said):
+    file = tmp_path / "r.jsonl"
+    monkeypatch.setattr(sys, "argv", ["recording", "drive", str(file), "--gateways", "1", "--steps", "200"])
+    assert command.main() == 0
+    file.write_bytes(damage(file.read_bytes()))
+    monkeypatch.setattr(sys, "argv", ["recording", "play", str(file)])
+    assert command.main() == code
+    out = capsys.readouterr()
+    assert said in out.out + out.err
