Split the interface into words, settings, events and actions

Change: a package of four modules that import one way; OfRequest, OfAttempt and OfServer hold the repeated fields; brackenloft's own list of names comes from the interface's.

--- a/brackenloft/__init__.py
+++ b/brackenloft/__init__.py
@@ -1,59 +1,8 @@
 """brackenloft: the decisions of a quota-keeping gateway for a shared API."""
 
-from brackenloft.interface import (
-    Action,
-    Admit,
-    Cancel,
-    ClientGone,
-    CloseIdle,
-    Contract,
-    CounterAdd,
-    CounterReply,
-    DiscoveryMode,
-    Drain,
-    Effect,
-    Elsewhere,
-    Event,
-    Fail,
-    FetchList,
-    HandOver,
-    KeyScope,
-    Limits,
-    Linked,
-    ListKind,
-    Log,
-    NewSettings,
-    OtherGone,
-    Outcome,
-    PeerMessage,
-    Plan,
-    Probe,
-    ProbeResult,
-    Refuse,
-    Request,
-    RequestClass,
-    Send,
-    ServerByHand,
-    ServerEntry,
-    ServerList,
-    ServerState,
-    SetTimer,
-    Settings,
-    SetUsable,
-    Status,
-    Stopping,
-    StreamStarted,
-    Subscribe,
-    TellPeer,
-    TimerFired,
-)
+from brackenloft import interface
+from brackenloft.interface import *  # noqa: F403  its __all__ is the list
 from brackenloft.logic import Gateway
 
-__all__ = [
-    "Action", "Admit", "Cancel", "ClientGone", "CloseIdle", "Contract", "CounterAdd", "CounterReply",
-    "DiscoveryMode", "Drain", "Effect", "Elsewhere", "Event", "Fail", "FetchList", "Gateway", "HandOver",
-    "KeyScope", "Limits", "Linked", "ListKind", "Log", "NewSettings", "OtherGone", "Outcome",
-    "PeerMessage", "Plan", "Probe", "ProbeResult", "Refuse", "Request", "RequestClass", "Send",
-    "ServerByHand", "ServerEntry", "ServerList", "ServerState", "SetTimer", "Settings", "SetUsable",
-    "Status", "Stopping", "StreamStarted", "Subscribe", "TellPeer", "TimerFired",
-]
+__all__ = ["Gateway"]
+__all__ += interface.__all__
--- /dev/null
+++ b/brackenloft/interface/actions.py
@@ -0,0 +1,111 @@
+"""What the decisions want done; carried out in order."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from brackenloft.interface.events import Elsewhere
+from brackenloft.interface.words import OfAttempt, OfRequest, OfServer
+
+
+@dataclass(frozen=True, slots=True)
+class Send(OfRequest):
+    """Start an attempt. ``timeout_ms`` of 0: as long as the client waits. Attempts count from 0."""
+
+    server: int
+    timeout_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse(OfRequest):
+    """Final answer: nothing was done, a retry is harmless; not before ``retry_after_ms`` if above 0."""
+
+    retry_after_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Fail(OfRequest):
+    """Final answer: failed, and nothing is promised about the effect."""
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel(OfAttempt):
+    """Stop waiting for an attempt; its outcome is still owed."""
+
+
+@dataclass(frozen=True, slots=True)
+class SetTimer:
+    """Deliver ``TimerFired(token)`` after this time; timers are not taken back."""
+
+    token: int
+    delay_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Log:
+    """A line for the people on call."""
+
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Subscribe:
+    """Ask discovery for changes from now on, or for none."""
+
+    active: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class FetchList:
+    """Ask discovery for the whole list once."""
+
+
+@dataclass(frozen=True, slots=True)
+class Probe(OfServer):
+    """Ask a server how it is; costs it work."""
+
+
+@dataclass(frozen=True, slots=True)
+class CloseIdle(OfServer):
+    """Close this gateway's idle connections to a server."""
+
+
+@dataclass(frozen=True, slots=True)
+class SetUsable(OfServer):
+    """Whether connections to a server may be used, on top of what its list says."""
+
+    usable: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Admit:
+    """Whether the front is told to send clients, and how long their connections are kept without a request.
+
+    ``linger_ms`` of inf keeps them; else each is closed as its last answer goes out, or after so long.
+    """
+
+    serving: bool
+    linger_ms: float = float("inf")
+
+
+@dataclass(frozen=True, slots=True)
+class TellPeer:
+    """Send bytes to one gateway, or to all with -1."""
+
+    peer: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class CounterAdd:
+    """Add to a shared count; a new name is forgotten after ``lifetime_ms``."""
+
+    name: int
+    amount: float
+    lifetime_ms: float
+
+
+Action = (
+    Send | Refuse | Fail | Cancel | SetTimer | Log | Subscribe | FetchList | Probe | CloseIdle
+    | TellPeer | CounterAdd | SetUsable | Admit | Elsewhere
+)
--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -1,4 +1,4 @@
-"""Every decision of the gateway. Its types (settings, events, actions) stand in interface.py.
+"""Every decision of the gateway. Its types (settings, events, actions) stand in interface/.
 
 The path of a request, from top to bottom of ``Gateway``:
   _on_request  unknown names are refused; the customer's leaky bucket says send, hold or refuse
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -12,4 +12,4 @@
 
 
 def test_module_names_its_interface():
-    assert "interface.py" in LOGIC.read_text().split('"""')[1]
+    assert "interface/" in LOGIC.read_text().split('"""')[1]
