The decisions as a package: a module each, tables below them, one way of imports

What decides nothing went to brackenloft/tables/: rows, fading, estimates, epochs, the fleet's table, timers, the tally. Gateway keeps its public names through tables/views.py.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -17,7 +17,6 @@
 
 from brackenloft import interface as api
 from brackenloft.config import Config, read, read_file, told
-from brackenloft.logic import Gateway
 from brackenloft.net import admin
 from brackenloft.net.clients import Clients
 from brackenloft.net.discovery import Discovery
@@ -26,6 +25,7 @@
 from brackenloft.net.operators import Operators
 from brackenloft.net.reload import Reload, budget
 from brackenloft.net.servers import Address, Servers
+from brackenloft.policy.gateway import Gateway
 from brackenloft.reader import ConfigError
 
 log = logging.getLogger("brackenloft")
--- a/brackenloft/adapter.py
+++ b/brackenloft/adapter.py
@@ -12,7 +12,7 @@
 from typing import Any, Protocol, TextIO
 
 from brackenloft import interface as api
-from brackenloft.logic import Gateway
+from brackenloft.policy.gateway import Gateway
 from brackenloft.settings import Fields, settings_from
 
 STATUS = {
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -13,8 +13,8 @@
 from typing import Any
 
 from brackenloft import interface as api
-from brackenloft.logic import Gateway
 from brackenloft.net.servers import Attempt, Reply, Servers, Sink, Source
+from brackenloft.policy.gateway import Gateway
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/brackenloft/policy/ceilings.py
@@ -0,0 +1,63 @@
+"""Hard bounds of a customer over all gateways: the ceiling on units, the cap on attempts out."""
+
+from math import inf
+
+from brackenloft.interface import Plan
+from brackenloft.policy.meter import Meter
+from brackenloft.tables import Context, Customer, Epochs, Flight
+
+
+class Ceilings:
+    """Owns customers' shares of the ceilings' stores. Times are milliseconds, levels are units."""
+
+    def __init__(self, context: Context, meter: Meter) -> None:
+        self.context, self.meter = context, meter
+        # Of each plan's ceiling, what a customer may have that was not seen: the level at the last change.
+        self.fresh: dict[str, tuple[float, float]] = {}
+
+    def fresh_level(self, plan: Plan, width: int, now: float) -> float:
+        """The ceiling's share of a customer not seen since the start: unknown history starts at nought."""
+        level, at = self.fresh.get(plan.name, (0.0, self.context.since))
+        return min(plan.ceiling_burst, level + plan.ceiling_rate * (now - at) / 1000.0) / width
+
+    def turn(self, epochs: Epochs, now: float) -> None:
+        """A new epoch: unseen customers keep what they may have; plans that are added begin with nothing."""
+        before = epochs.past[-1].plans
+        fresh = {name: (self.fresh_level(plan, 1, now), now) for name, plan in before.items()
+                 if epochs.plan(name)}
+        self.fresh = fresh | {name: (0.0, now) for name in epochs.plans if name not in before}
+
+    def level(self, customer: Customer, plan: Plan, at: float) -> float:
+        """Units in this gateway's share of the ceiling's store."""
+        refill = plan.ceiling_rate / customer.width * (at - customer.ceiling_at) / 1000.0
+        return min(plan.ceiling_burst / customer.width, customer.ceiling + refill)
+
+    def wait(self, flight: Flight, now: float) -> float:
+        """Milliseconds until this gateway's share of the ceiling holds the request's units, or inf."""
+        customer, units = flight.customer, flight.request.units
+        plan = customer.strict or flight.plan
+        if not plan.ceiling_rate:
+            return 0.0
+        if units > plan.ceiling_burst / customer.width:
+            return inf
+        short = units - self.level(customer, plan, now)
+        return max(0.0, short) * 1000.0 * customer.width / plan.ceiling_rate
+
+    def draw(self, flight: Flight, now: float) -> None:
+        """The request is sent on: its units leave the store."""
+        plan = flight.customer.strict or flight.plan
+        if plan.ceiling_rate:
+            self.bring(flight.customer, plan, now)
+            flight.customer.ceiling -= flight.request.units
+
+    def bring(self, customer: Customer, plan: Plan, at: float) -> None:
+        """Bring a customer's share up to a moment by this plan."""
+        customer.ceiling, customer.ceiling_at = self.level(customer, plan, at), at
+
+    def capped(self, flight: Flight, now: float) -> bool:
+        """Whether this gateway's slice of the customer's attempts at once, at least one, is out."""
+        customer = flight.customer
+        cap = (customer.strict or flight.plan).max_in_flight
+        if not cap:
+            return False
+        return customer.out + customer.elsewhere >= max(1, int(cap * self.meter.share(customer, now)))
--- /dev/null
+++ b/brackenloft/policy/change.py
@@ -0,0 +1,109 @@
+"""Settings that change while the gateway serves: whole or not at all. What is in hand keeps its class and
+plan; where a ceiling or cap changes, the stricter of both holds until what was taken before has ended."""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from brackenloft.interface import NewSettings, Plan
+from brackenloft.policy.customers import Customers
+from brackenloft.policy.health import Health
+from brackenloft.policy.lists import Lists
+from brackenloft.tables import Context, Hand, Key
+
+SETTLE_MS = 4000.0  # the platform gives a change of configuration so long: others may go by the old one
+STEP = 100  # customers brought up to date in a step
+BOUNDS = ("max_in_flight", "ceiling_rate", "ceiling_burst")
+
+
+def stricter(one: Plan, other: Plan) -> Plan:
+    """The first plan, with the lower of both ceilings and caps; nought is none."""
+    def low(a: float, b: float) -> float:
+        return min(a, b) if a and b else a or b
+
+    rate = low(one.ceiling_rate, other.ceiling_rate)
+    burst = low(one.ceiling_burst, other.ceiling_burst) if rate else 0.0
+    return replace(one, max_in_flight=int(low(one.max_in_flight, other.max_in_flight)),
+                   ceiling_rate=rate, ceiling_burst=burst)
+
+
+class Changes:
+    """Owns the bounds of what is in hand while settings change; hands the settings to every part."""
+
+    def __init__(
+        self, context: Context, customers: Customers, health: Health, lists: Lists, hand: Hand,
+        again: Callable[[], None],
+    ) -> None:
+        self.context, self.customers, self.epochs = context, customers, customers.epochs
+        self.health, self.lists, self.pressure, self.hand = health, lists, lists.pressure, hand
+        self.again = again  # tries again what is parked
+
+    def take(self, event: NewSettings) -> bool:
+        """Take them over. A larger number of gateways holds at once, as shares shrink; a smaller one once the
+        others must have heard of it too: until then this gateway's share grows by nothing."""
+        settings = event.settings
+        plans = {item.name: item for item in settings.plans}
+        classes = {item.name: item for item in settings.classes}
+        kinds = classes | {flight.kind.name: flight.kind for flight in self.hand.flights.values()}
+        latency = self.pressure.means(kinds.values())
+        gateways = max(self.epochs.gateways, settings.gateways)
+        bounds = self._bounds(plans)
+        # All that may fail came before the first thing that is altered.
+        self._turn(plans, gateways)
+        self.context.configure(settings)
+        self.pressure.latencies.keep(latency)
+        self.health.shares.keep(classes, plans, self.lists.fleet.servers.values())
+        self._keep_in_hand(bounds)
+        self.lists.relist()
+        if settings.gateways < gateways:
+            self.context.arm(SETTLE_MS, self._settled, self.epochs.epoch)
+        return True
+
+    def _settled(self, epoch: int) -> None:
+        """The smaller number of gateways holds from now on, unless there was another change."""
+        if epoch == self.epochs.epoch:
+            self._turn(self.epochs.plans, self.context.settings.gateways)
+            self._keep_in_hand({})
+            self.again()
+
+    def _turn(self, plans: dict[str, Plan], gateways: int) -> None:
+        """Begin a new epoch."""
+        self.pressure.rescale(self.epochs.gateways, gateways)
+        self.customers.turn(plans, gateways)
+        if self.epochs.lagging:
+            self.context.arm(self.context.settings.tick_ms, self._sweep, self.epochs.epoch)
+
+    def _sweep(self, epoch: int) -> None:
+        if epoch == self.epochs.epoch:
+            self.customers.step(STEP)
+            if self.epochs.lagging:
+                self.context.arm(self.context.settings.tick_ms, self._sweep, epoch)
+
+    def _bounds(self, plans: dict[str, Plan]) -> dict[Key, Plan]:
+        """For customers with something in hand whose ceiling or cap changes: the stricter of old and new."""
+        bounds: dict[Key, Plan] = {}
+        for flight in self.hand.flights.values():
+            old, customer = flight.plan, flight.customer
+            new, strict = plans.get(old.name, old), bounds.get(customer.key) or customer.strict
+            bound = stricter(new, stricter(old, strict or old))
+            if strict or any(getattr(bound, name) != getattr(plan, name)
+                             for name in BOUNDS for plan in (old, new)):
+                bounds[customer.key] = bound
+        return bounds
+
+    def _keep_in_hand(self, bounds: dict[Key, Plan]) -> None:
+        """Bring up to date whoever has something in hand; until that has ended the stricter bounds hold."""
+        for flight in self.hand.flights.values():
+            self.customers.catch_up(flight.customer)
+            if flight.customer.key in bounds:
+                flight.customer.older = 0
+        for flight in self.hand.flights.values():
+            customer = flight.customer
+            if customer.key in bounds:
+                customer.strict, customer.strict_epoch = bounds[customer.key], self.epochs.epoch
+                customer.older += 1
+
+    def hand_over(self) -> None:
+        """Bring all up to this moment: the next process may go by other settings from here on."""
+        self._turn(self.epochs.plans, self.epochs.gateways)
+        self._keep_in_hand({})
+        self.customers.step(len(self.epochs.lagging))
--- /dev/null
+++ b/brackenloft/policy/choice.py
@@ -0,0 +1,69 @@
+"""Choice of a server: the best of some that are ready."""
+
+from brackenloft.interface import Effect
+from brackenloft.policy.cold import Cold
+from brackenloft.policy.health import Health, Priors
+from brackenloft.policy.pressure import Pressure
+from brackenloft.policy.resend import in_group
+from brackenloft.tables import Context, Flight, Reports, Server
+
+QUEUE_WEIGHT = 1.0  # requests out that one reported as waiting stands for
+CROSS_WEIGHT = 10.0  # how many times its price a zone crossing weighs against a mean latency
+SPREAD = 0.1  # share of a cost drawn at random, so that gateways with the same reports do not choose alike
+DOUBT_COST = 6.0  # mean latencies that a failure costs beside a wait: most of a request's worth is lost
+SAMPLE = 10  # servers compared for a request, drawn at random, beside those that answered it quickly last
+
+
+class Choice:
+    """Weighs what is known of servers; owns nothing."""
+
+    def __init__(
+        self, context: Context, reports: Reports, health: Health, pressure: Pressure, cold: Cold,
+    ) -> None:
+        self.context, self.reports, self.fleet = context, reports, reports.fleet
+        self.health, self.latencies, self.cold = health, pressure.latencies, cold
+        self.decay, self.random = context.decay, context.random
+
+    def cost(self, flight: Flight, server: Server, priors: Priors) -> float:
+        """The wait expected at a server, in mean latencies."""
+        load, settings = 1.0 + len(server.out), self.context.settings
+        if server.queue:
+            load += QUEUE_WEIGHT * server.queue * self.decay.left(server.queue_at)
+        doubt = self.health.doubt(flight, server, priors)
+        cost = self.latencies.ratio(server) * load * (1.0 + DOUBT_COST * doubt)
+        if self.reports.linking and not server.linked:
+            cost += DOUBT_COST * settings.handshake_price  # as a failure, and paid once however busy it is
+        cost *= self.cold.warmth(server)  # who comes in the turn of a cold server should take it
+        if server.zone != settings.zone:
+            cost *= 1.0 + CROSS_WEIGHT * settings.cross_zone_price
+        return cost * (1.0 + SPREAD * self.random.random())
+
+    def first(self, flight: Flight) -> Server | None:
+        """For a first attempt: one that is owed a turn, or the best that the request may go to."""
+        now = self.context.now
+        owed = [server for server in self.fleet.cold if server.ready and server.owed_at <= now]
+        if owed:
+            return owed[0]
+        few = self.fleet.ready
+        if len(few) > 2 * SAMPLE:
+            few = self.random.sample(few, SAMPLE) + [*self._quick(flight), *self.fleet.cold]
+        return self._best(flight, few)
+
+    def again(self, flight: Flight) -> Server | None:
+        """For a further attempt: one in its group not tried yet; a request with a key may try one again."""
+        now = self.context.now
+        group = [server for server in self.fleet.ready if in_group(flight, server, now)]
+        few = [server for server in group if server.id not in flight.tried]
+        if not few and flight.kind.effect is Effect.KEYED:
+            few = group
+        if len(few) > 2 * SAMPLE:
+            few = self.random.sample(few, SAMPLE) + [s for s in self._quick(flight) if s in few]
+        return self._best(flight, few)
+
+    def _quick(self, flight: Flight) -> list[Server]:
+        return list(self.latencies.quick[flight.kind.name].values())
+
+    def _best(self, flight: Flight, few: list[Server]) -> Server | None:
+        ready, priors = len(self.fleet.ready), self.health.priors(flight)
+        few = [server for server in few if server.ready and self.cold.in_turn(flight, server, ready)]
+        return min(few, key=lambda server: self.cost(flight, server, priors), default=None)
--- /dev/null
+++ b/brackenloft/policy/cold.py
@@ -0,0 +1,35 @@
+"""Cold servers: who may be sent how much."""
+
+from brackenloft.tables import Context, Flight, Server
+
+COLD_SAFETY = 0.33  # of the tipping budget that a full fleet's even share may use: chance and heavy requests
+
+
+class Cold:
+    """Owns nothing but the rules: how fast servers warm up, how much tips them over."""
+
+    def __init__(self, context: Context) -> None:
+        self.context = context
+
+    def warmth(self, server: Server) -> float:
+        """The share of its capacity that a server has at least, by the time since its start."""
+        if server.started <= 0:
+            return 1.0
+        rules, age = self.context.settings.contract, self.context.now - server.started
+        if age >= rules.warm_up_ms:
+            return 1.0
+        return rules.cold_share + (1.0 - rules.cold_share) * max(0.0, age) / rules.warm_up_ms
+
+    def in_turn(self, flight: Flight, server: Server, ready: int) -> bool:
+        """Whether this request may go to a server: a cold one only in its turn, drawn once for each request.
+
+        Guards against pushing a cold server over: of all requests at all gateways, however many, it is open
+        to its even share times its least warmth at most, however good it looks, however often one asks.
+        It also spreads the burst after a list change. Harm: where most servers are cold at once, requests
+        wait or are refused though the multiple would allow more.
+        """
+        warmth = self.warmth(server)
+        if warmth >= 1.0:
+            return True
+        even = min(1.0, COLD_SAFETY * self.context.settings.contract.tip_multiple)
+        return (flight.turn + server.phase) % 1.0 < even * warmth / ready
--- /dev/null
+++ b/brackenloft/policy/customers.py
@@ -0,0 +1,96 @@
+"""Customers: who is remembered, and by which settings each is brought up to date.
+
+A change makes an epoch. By what held until then a customer is brought up to it: at once with something in
+hand, else when it is met next, or in small steps, so that a change never holds the loop for thousands.
+"""
+
+from collections import OrderedDict
+
+from brackenloft.interface import Plan, Request
+from brackenloft.policy.ceilings import Ceilings
+from brackenloft.policy.meter import Meter
+from brackenloft.tables import Context, Customer, Epochs, Flight, Key
+
+MOST_PAST = 32  # changes that customers may lag behind
+MOST_RETIRED = 64  # plans that are gone, but remembered for their customers
+
+
+class Customers:
+    """Owns the customers known, as last touched, and the epochs with their plans and numbers of gateways."""
+
+    def __init__(self, context: Context, meter: Meter, ceilings: Ceilings) -> None:
+        self.context, self.meter, self.ceilings = context, meter, ceilings
+        self.known: OrderedDict[Key, Customer] = OrderedDict()
+        self.epochs = Epochs(context.settings.plans, context.settings.gateways, MOST_RETIRED)
+
+    def find(self, request: Request, plan: Plan) -> Customer:
+        """The request's customer, as the last touched; the longest untouched may be forgotten for it."""
+        key, now, epoch = (request.plan, request.customer), self.context.now, self.epochs.epoch
+        customer = self.known.get(key)
+        if customer is None:
+            fresh = self.ceilings.fresh_level(plan, request.width, now)
+            self.known[key] = customer = Customer(key, now, fresh, epoch)
+        else:
+            self.known.move_to_end(key)
+            if customer.epoch != epoch:
+                self.catch_up(customer)
+        customer.span, customer.width = request.width, min(request.width, self.epochs.gateways)
+        customer.largest = max(customer.largest, request.units)
+        self._forget_one(now)
+        return customer
+
+    def _forget_one(self, now: float) -> None:
+        """Keeps the state bounded: each request brings one customer at most and may take one away."""
+        for _ in range(2):
+            key = next(iter(self.known))
+            old, plan = self.known[key], self.epochs.plan(key[0])
+            if old.epoch != self.epochs.epoch:
+                self.catch_up(old)
+            if plan is None:  # gone for so long that it is forgotten
+                del self.known[key]
+                return
+            full = self.ceilings.level(old, plan, now) >= self.ceilings.fresh_level(plan, old.width, now)
+            if old.out or old.elsewhere or not full or not self.meter.as_new(old, plan, now):
+                return
+            if len(self.known) > 1:
+                del self.known[key]
+
+    def catch_up(self, customer: Customer) -> None:
+        """Bring a customer up to the last change, through each that it lags behind."""
+        name = customer.key[0]
+        for past, gateways in self.epochs.behind(customer.epoch):
+            if plan := past.plans.get(name):
+                self.meter.drain(customer, plan, past.until, past.news_ms)
+                if past.until > customer.ceiling_at:
+                    self.ceilings.bring(customer, customer.strict or plan, past.until)
+            customer.width = max(1, min(customer.span, gateways))
+        customer.epoch = self.epochs.epoch
+        if plan := self.epochs.plan(name):
+            customer.ceiling = min(customer.ceiling, plan.ceiling_burst / customer.width)
+
+    def turn(self, plans: dict[str, Plan], gateways: int) -> None:
+        """Begin a new epoch, in which these plans and this number of gateways hold."""
+        if len(self.epochs.past) >= MOST_PAST:
+            self.step(len(self.epochs.lagging))
+        self.epochs.turn(self.context.now, plans, gateways, self.meter.news_ms, self.known)
+        self.ceilings.turn(self.epochs, self.context.now)
+
+    def step(self, count: int) -> None:
+        """Bring some of those up to date that lag behind."""
+        for key in self.epochs.lagging[-count:]:
+            customer = self.known.get(key)
+            if customer and customer.epoch != self.epochs.epoch:
+                self.catch_up(customer)
+            if customer and self.epochs.plan(key[0]) is None and not customer.out:
+                del self.known[key]
+        self.epochs.caught_up(count)
+
+    def ended(self, flight: Flight) -> None:
+        """A request has left: with the last one taken before a change its customer's strict bounds go too."""
+        customer = flight.customer
+        if customer.strict is None or flight.epoch >= customer.strict_epoch:
+            return
+        customer.older -= 1
+        if customer.older <= 0:
+            self.ceilings.bring(customer, customer.strict, self.context.now)
+            customer.strict = None
--- /dev/null
+++ b/brackenloft/policy/gateway.py
@@ -0,0 +1,90 @@
+"""The gateway: one event in, the actions it gives rise to out. Each decision has a module of its own, and
+docs/design.md says which event goes through which of them, in order."""
+
+from collections.abc import Callable
+from typing import Any
+
+from brackenloft import interface as api
+from brackenloft.policy.admission import Admission
+from brackenloft.policy.answers import Answers
+from brackenloft.policy.attempts import Attempts
+from brackenloft.policy.ceilings import Ceilings
+from brackenloft.policy.change import Changes
+from brackenloft.policy.choice import Choice
+from brackenloft.policy.cold import Cold
+from brackenloft.policy.customers import Customers
+from brackenloft.policy.drain import ELSEWHERE_MS, Operators
+from brackenloft.policy.handover import Handover
+from brackenloft.policy.health import Health
+from brackenloft.policy.lists import Lists
+from brackenloft.policy.meter import Meter
+from brackenloft.policy.pressure import Pressure
+from brackenloft.tables import Context, Fleet, Hand, Reports, Views
+
+FADE_MS = 4000.0  # time constant with which figures fade, so that a server is tried again; but see Decay
+
+
+class Gateway(Views):
+    """One gateway's decisions. Feed events in order; carry out the actions in order."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.context = context = Context(settings, seed, FADE_MS)
+        self.decay, self.fleet, self.hand = context.decay, Fleet(context.random), Hand()
+        self.meter, self.warming, self.health = Meter(context), Cold(context), Health(context)
+        self.pressure = Pressure(context)
+        self.latencies, self.shares = self.pressure.latencies, self.health.shares
+        self.ceilings = Ceilings(context, self.meter)
+        self.book = Customers(context, self.meter, self.ceilings)
+        self.epochs = self.book.epochs
+        self.reports = Reports(context, self.fleet)
+        self.choice = Choice(context, self.reports, self.health, self.pressure, self.warming)
+        self.handover = Handover(context, self.hand, self.book)
+        self.answers = Answers(context, self.pressure, self.handover)
+        self.attempts = Attempts(context, self.ceilings, self.choice, self.answers)
+        self.admission = Admission(context, self.book, self.attempts)
+        self.retry_parked = self.admission.retry_parked
+        self.lists = Lists(context, self.fleet, self.warming, self.pressure, self.epochs)
+        self.operators = Operators(context, self.lists)
+        self.changes = Changes(context, self.book, self.health, self.lists, self.hand, self.retry_parked)
+        self.handlers: dict[type, Callable[[Any], None]] = {
+            api.Request: self._on_request, api.ClientGone: self.answers.gone,
+            api.Outcome: self._freeing(self.attempts.ended), api.ServerList: self._freeing(self.lists.take),
+            api.StreamStarted: self._freeing(self.attempts.streams), api.TimerFired: context.fire,
+            api.ServerByHand: self._freeing(self.operators.by_hand), api.Drain: self.operators.drain,
+            api.Stopping: self.answers.stop, api.HandOver: self._on_hand_over,
+            api.Elsewhere: self._freeing(self.handover.hear), api.OtherGone: self._freeing(self.handover.end),
+            api.NewSettings: self._freeing(self.changes.take), api.Linked: self.reports.linked,
+            api.ProbeResult: self.reports.probed,
+        }
+
+    def _freeing(self, take: Callable[[Any], bool]) -> Callable[[Any], None]:
+        """Whatever alters what may go (true) lets the parked be tried again."""
+        def on_event(event: Any) -> None:
+            if take(event):
+                self.retry_parked()
+        return on_event
+
+    def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
+        """Decide on one event at this time (ms). Raises ValueError if the time goes back."""
+        self.context.begin(now_ms)
+        handler = self.handlers.get(type(event))
+        if handler:
+            handler(event)
+        return self.context.actions
+
+    def _on_request(self, event: api.Request) -> None:
+        kind, plan = self.context.classes.get(event.class_name), self.epochs.plans.get(event.plan)
+        if event.request_id in self.hand.flights:
+            return  # it is in hand already, and may have run: a refusal here would be its answer
+        if kind is None or plan is None:
+            self.context.log_once(f"refused: unknown class {event.class_name!r} or plan {event.plan!r}")
+            self.answers.refuse(event.request_id, 0.0)
+        elif self.operators.left:
+            self.answers.count("drained", plan)
+            self.answers.refuse(event.request_id, ELSEWHERE_MS)
+        else:
+            self.admission.request(event, kind, plan)
+
+    def _on_hand_over(self, _: api.HandOver) -> None:
+        self.changes.hand_over()
+        self.handover.begin()
--- /dev/null
+++ b/brackenloft/policy/handover.py
@@ -0,0 +1,43 @@
+"""Upgrades: this process and the next one are one gateway."""
+
+from brackenloft.interface import Elsewhere, OtherGone
+from brackenloft.policy.customers import Customers
+from brackenloft.tables import Context, Customer, Hand
+
+
+class Handover:
+    """Owns whether the next process has taken over."""
+
+    def __init__(self, context: Context, hand: Hand, customers: Customers) -> None:
+        self.context, self.hand, self.customers = context, hand, customers
+        self.handed = False
+
+    def begin(self) -> None:
+        """The next process takes over."""
+        self.handed = True
+        self.context.log(f"handed over with {len(self.hand.flights)} requests in hand")
+
+    def tell(self, customer: Customer, charged: float, used: float | None = None) -> None:
+        """Once handed over: the units charged here, the reading of the meter, what is in hand now."""
+        if self.handed:
+            plan, name = customer.key
+            self.context.actions.append(Elsewhere(plan, name, self.hand.places(customer), charged, used))
+
+    def hear(self, event: Elsewhere) -> bool:
+        """What the process before this one holds and charges of a customer; false if nobody knows it."""
+        customer = self.customers.known.get((event.plan, event.customer))
+        if customer is None:
+            return False
+        self.customers.catch_up(customer)
+        customer.elsewhere = event.in_hand
+        self.customers.meter.charge(customer, event.charged)
+        if event.used_percent is not None:
+            self.customers.meter.read(customer, event.used_percent, self.context.now)
+        return True
+
+    def end(self, _: OtherGone) -> bool:
+        """The process before this one has ended, or the next one has: this one goes on alone."""
+        self.handed = False
+        for customer in self.customers.known.values():
+            customer.elsewhere = 0
+        return True
--- /dev/null
+++ b/brackenloft/policy/lists.py
@@ -0,0 +1,39 @@
+"""Discovery's lists: which servers there are, and when discovery is asked."""
+
+from brackenloft.interface import DiscoveryMode, ListKind, ServerList, Subscribe
+from brackenloft.policy.cold import Cold
+from brackenloft.policy.pressure import Pressure
+from brackenloft.tables import Context, Epochs, Fleet
+
+ASK_SHARE = 0.5  # of the time in which discovery must be asked: room for one failed call
+
+
+class Lists:
+    """Owns the fleet's table."""
+
+    def __init__(
+        self, context: Context, fleet: Fleet, cold: Cold, pressure: Pressure, epochs: Epochs,
+    ) -> None:
+        self.context, self.fleet, self.cold = context, fleet, cold
+        self.pressure, self.epochs = pressure, epochs
+
+    def take(self, event: ServerList) -> bool:
+        """Discovery's news; false if it had none."""
+        settings = self.context.settings
+        if settings.discovery is DiscoveryMode.ASK and event.kind in (ListKind.CACHED, ListKind.FAILED):
+            # Subscribe at the start; after a failure again well within the time the rules give.
+            again = settings.contract.ask_within_ms * ASK_SHARE
+            delay = 0.0 if event.kind is ListKind.CACHED else again
+            self.context.arm(delay, lambda _: self.context.actions.append(Subscribe(True)), None)
+        if event.kind is ListKind.FAILED:
+            return False
+        self.fleet.update(event)
+        self.relist()
+        if event.kind is ListKind.CACHED:
+            self.pressure.begin(len(self.fleet.servers), self.epochs.gateways)
+        return True
+
+    def relist(self) -> None:
+        """Note which servers are ready, and which of them are cold."""
+        self.fleet.relist(lambda server: self.cold.warmth(server) < 1.0)
+        self.context.decay.servers = max(1, len(self.fleet.servers))
--- a/brackenloft/state.py
+++ b/brackenloft/state.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Mapping
 from itertools import islice
 from math import isnan
 from typing import Any
 
-from brackenloft.logic import Customer, Gateway, Mark, Moment, Server
+from brackenloft.policy.gateway import Gateway
+from brackenloft.tables.rows import Customer, Key, Mark, Moment, Server
 
 MOST_CUSTOMERS = 20_000  # of a document, the last touched: some 4 MB
 FIGURES = ("excess", "touched", "largest", "width", "used", "used_at", "ceiling", "ceiling_at", "asked",
@@ -21,7 +23,7 @@
 
 def save(gateway: Gateway, names: Mapping[int, str]) -> Document:
     """The state after ``HandOver``: what is still to be done here is reserved in it."""
-    reserved = gateway.reserved_units()
+    reserved = gateway.hand.reserved_units()
     newest = islice(reversed(gateway.customers.values()), MOST_CUSTOMERS)
     rows = [_customer(gateway, customer, reserved) for customer in newest]
     return {
@@ -29,7 +31,7 @@
         "servers": {names[s.id]: _server(s) for s in gateway.servers.values() if s.id in names},
         "latency": gateway.latency, "pool": gateway.pool, "retries": gateway.retries,
         "sends": gateway.sends, "started_at": gateway.started_at, "marks": gateway.marks,
-        "fresh": gateway.changes.fresh,
+        "fresh": gateway.fresh,
         "quick": {kind: [names[n] for n in known if n in names] for kind, known in gateway.quick.items()},
     }
 
@@ -37,7 +39,7 @@
 def _customer(gateway: Gateway, customer: Customer, reserved: Mapping[tuple[str, str], float]) -> list[Any]:
     row = [getattr(customer, name) for name in FIGURES]
     row[FIGURES.index("ceiling")] -= reserved.get(customer.key, 0.0)
-    row[FIGURES.index("elsewhere")] = gateway.in_hand(customer)
+    row[FIGURES.index("elsewhere")] = gateway.hand.places(customer)
     return [*customer.key, *row]
 
 
@@ -49,10 +51,10 @@
 
 def load(gateway: Gateway, document: Document, numbers: Mapping[str, int]) -> None:
     """Go on from a document. Raises ValueError, KeyError, TypeError or AttributeError if it is none."""
-    customers = {}
+    customers: OrderedDict[Key, Customer] = OrderedDict()
     for plan, name, *row in document["customers"]:
         if plan in gateway.plans:
-            made = Customer((str(plan), str(name)), 0.0, 0.0, gateway.changes.epoch)
+            made = Customer((str(plan), str(name)), 0.0, 0.0, gateway.epochs.epoch)
             for field, value in zip(FIGURES, row, strict=True):
                 setattr(made, field, _number(value))
             made.span, made.elsewhere = max(1, int(made.width)), int(made.elsewhere)
@@ -70,7 +72,7 @@
     fresh = {str(name): (_number(level), _number(at))
              for name, (level, at) in document.get("fresh", {}).items()}
     # All of it could be read: from here on nothing fails.
-    gateway.changes.fresh = fresh
+    gateway.fresh = fresh
     gateway.customers, gateway.latency, gateway.marks = customers, latency, marks
     gateway.pool, gateway.retries, gateway.started_at = figures[0], figures[1], figures[3]
     gateway.sends = int(figures[2])
--- /dev/null
+++ b/brackenloft/tables/estimates.py
@@ -0,0 +1,112 @@
+"""Estimates from answers that fade: shares of failures, latencies."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from brackenloft.interface import Linked, ProbeResult
+from brackenloft.tables.context import Context
+from brackenloft.tables.decay import Decay
+from brackenloft.tables.fleet import Fleet
+from brackenloft.tables.rows import NEVER, Mark, Server, keys
+
+
+class Shares:
+    """Shares of failures by key: of each server, and of all, which stand in while one shows little."""
+
+    def __init__(self, decay: Decay, prior: float) -> None:
+        self.decay = decay
+        self.prior_weight = prior  # outcomes that the share of all weighs against a server's own
+        self.marks: dict[str, Mark] = {}  # of all servers together
+
+    def note(self, server: Server, key: str, everywhere: str, failed: bool) -> None:
+        """One outcome at a server, under its key there and the one for all servers."""
+        moment = self.decay.moment()
+        for marks, name in ((server.marks, key), (self.marks, everywhere)):
+            bad, seen, then = marks.get(name, (0.0, 0.0, NEVER))
+            fade = self.decay.left(then)
+            marks[name] = (bad * fade + failed, seen * fade + 1.0, moment)
+
+    def prior(self, everywhere: str) -> float:
+        """The failures of all servers, in outcomes, that count beside a server's own."""
+        bad, seen, _ = self.marks.get(everywhere, (0.0, 0.0, NEVER))
+        return self.prior_weight * bad / (seen + 1.0)
+
+    def share(self, server: Server, key: str, prior: float) -> float:
+        """The share of failures expected at a server, 0 to 1."""
+        mark = server.marks.get(key)
+        if mark is None:
+            return prior / self.prior_weight
+        bad, seen, then = mark
+        fade = self.decay.left(then) if seen else 0.0
+        return (bad * fade + prior) / (seen * fade + self.prior_weight)
+
+    def keep(self, classes: Iterable[str], plans: Iterable[str], servers: Iterable[Server]) -> None:
+        """Forget every key of a class or plan that is not among these: bounded however many come and go."""
+        known = {key for kind in classes for plan in ("", *plans) for key in keys(kind, plan)}
+        for marks in [self.marks, *(server.marks for server in servers)]:
+            for key in [key for key in marks if key.startswith("class ") and key not in known]:
+                del marks[key]
+
+
+class Latencies:
+    """Mean latencies of classes (ms), relative ones of servers, and servers that answered quickly last."""
+
+    def __init__(self, decay: Decay, mean_step: float, ratio_step: float, most_quick: int) -> None:
+        self.decay, self.mean_step, self.ratio_step = decay, mean_step, ratio_step
+        self.most_quick = most_quick
+        self.mean: dict[str, float] = {}
+        self.quick: dict[str, dict[int, Server]] = {}
+
+    def keep(self, mean: Mapping[str, float]) -> None:
+        """The classes are these from now on, with these means."""
+        self.mean = dict(mean)
+        self.quick = {name: self.quick.get(name, {}) for name in mean}
+
+    def learn(self, server: Server, name: str, latency_ms: float) -> None:
+        """One good answer to a class."""
+        mean = self.mean[name]
+        self.mean[name] = mean + self.mean_step * (latency_ms - mean)
+        ratio = self.ratio(server)
+        server.ratio = ratio + self.ratio_step * (latency_ms / mean - ratio)
+        server.ratio_at = self.decay.moment()
+
+    def ratio(self, server: Server) -> float:
+        """A server's latency in mean latencies, as far as it has not faded."""
+        if server.ratio == 1.0:
+            return 1.0
+        return 1.0 + (server.ratio - 1.0) * self.decay.left(server.ratio_at)
+
+    def note_quick(self, server: Server, name: str, quick: bool) -> None:
+        """Whether a server's last answer to a class was quick; the longest known gives way."""
+        known = self.quick[name]
+        known.pop(server.id, None)
+        if quick:
+            known[server.id] = server
+            if len(known) > self.most_quick:
+                del known[next(iter(known))]
+
+
+class Reports:
+    """What servers tell of their load, and whether a connection to them stands idle."""
+
+    def __init__(self, context: Context, fleet: Fleet) -> None:
+        self.context, self.fleet = context, fleet
+        self.linking = False  # whether anybody tells of connections
+
+    def take(self, server: Server, load: tuple[float, ...] | None) -> None:
+        """A report, in the order of the settings' fields, or none."""
+        if load:
+            report = dict(zip(self.context.settings.load_fields, load, strict=False))
+            server.queue, server.queue_at = report.get("queue") or 0.0, self.context.decay.moment()
+
+    def probed(self, event: ProbeResult) -> None:
+        """A report without a request."""
+        if server := self.fleet.servers.get(event.server):
+            self.take(server, event.load)
+
+    def linked(self, event: Linked) -> None:
+        """News of the connections to a server."""
+        self.linking = True
+        if server := self.fleet.servers.get(event.server):
+            server.linked = event.idle
--- /dev/null
+++ b/brackenloft/tables/rows.py
@@ -0,0 +1,94 @@
+"""The rows that decisions share: a customer, a server, a request in hand.
+
+One row holds the columns of several decisions, as a hundred thousand customers would otherwise be several
+hundred thousand objects; the comments say which decision writes a column. All others only read it.
+"""
+
+from __future__ import annotations
+
+from math import inf
+
+from brackenloft.interface import Plan, Request, RequestClass, ServerEntry, ServerState
+
+Moment = tuple[float, int]  # the time in milliseconds, and how many attempts had been sent from here
+Mark = tuple[float, float, Moment]  # failures and all outcomes, both faded, and when they were noted
+Key = tuple[str, str]  # a customer's plan and name
+NEVER: Moment = (-inf, 0)
+
+
+def keys(kind: str, plan: str) -> tuple[str, str, str]:
+    """Under which a server's health is noted: as a whole, for a class, for a class of a plan."""
+    return ("", f"class {kind}", f"class {kind} of plan {plan}")
+
+
+class Customer:
+    """What this gateway knows of one customer."""
+
+    __slots__ = ("excess", "touched", "largest", "width", "used", "used_at", "out", "ceiling", "ceiling_at",
+                 "asked", "asked_at", "key", "elsewhere", "span", "epoch", "strict", "strict_epoch", "older")
+
+    def __init__(self, key: Key, now: float, ceiling: float, epoch: int) -> None:
+        self.key = key
+        # customers: gateways that the requests named, and how many of them there are; the last change it is
+        # up to; its largest request
+        self.span, self.width, self.epoch, self.largest = 1, 1, epoch, 0.0
+        # meter: thousandths of a unit; the late reading, as a share of the rate; an excess that counts what
+        # was refused as well
+        self.excess, self.touched = 0.0, now
+        self.used, self.used_at = 0.0, -inf
+        self.asked, self.asked_at = 0.0, now
+        # ceilings: units in this gateway's share of the store
+        self.ceiling, self.ceiling_at = ceiling, now
+        # change: bounds while requests are in hand that were taken before a change, which one, how many
+        self.strict: Plan | None = None
+        self.strict_epoch = self.older = 0
+        self.out = 0  # attempts: out from here
+        self.elsewhere = 0  # handover: in hand in the process before this one: places under the cap
+
+
+class Server:
+    """What this gateway knows of one server."""
+
+    __slots__ = ("id", "zone", "cell", "ready", "started", "out", "ratio", "ratio_at", "queue", "queue_at",
+                 "marks", "phase", "listed", "back", "owed_at", "linked")
+
+    def __init__(self, entry: ServerEntry, phase: float) -> None:
+        self.id = entry.server
+        self.phase = phase  # cold: its turns
+        self.linked = False  # choice: a connection stands idle
+        self.back, self.owed_at = 0.0, inf  # by hand: when it was put back, and when it must be used for that
+        self.out: set[tuple[str, int]] = set()  # attempts: out from here
+        self.reset()
+        self.update(entry)
+
+    def reset(self) -> None:
+        """Forget what a process that is gone has shown (latency, choice, health)."""
+        self.ratio, self.ratio_at, self.queue, self.queue_at = 1.0, NEVER, 0.0, NEVER
+        self.marks: dict[str, Mark] = {}
+
+    def update(self, entry: ServerEntry) -> None:
+        """Take over what discovery says."""
+        self.zone, self.cell = entry.zone, entry.cell
+        self.started = max(entry.started_ms, self.back)
+        self.ready = self.listed = entry.state is ServerState.READY
+
+
+class Flight:
+    """A request in hand: held, parked or out, or answered with attempts still out."""
+
+    __slots__ = ("request", "kind", "plan", "customer", "arrived", "deadline", "sends", "out", "tried",
+                 "closed", "maybe_ran", "streaming", "waiting", "turn", "keys", "epoch")
+
+    def __init__(
+        self, request: Request, kind: RequestClass, plan: Plan, customer: Customer, now: float,
+        turn: float, epoch: int,
+    ) -> None:
+        self.request, self.kind, self.plan, self.customer = request, kind, plan, customer
+        self.arrived, self.deadline, self.epoch = now, now + request.patience_ms, epoch
+        self.keys = keys(kind.name, plan.name)
+        self.sends, self.turn = 0, turn  # the turn says which cold servers it may go to, once for all
+        self.out: dict[int, tuple[Server, float]] = {}
+        self.tried: set[int] = set()
+        self.closed = self.streaming = False
+        self.waiting = False  # for the end of a hold, or for the ceiling; a timer releases it
+        self.maybe_ran: tuple[Server, float] | None = None  # the first attempt that may have run
--- /dev/null
+++ b/brackenloft/tables/views.py
@@ -0,0 +1,34 @@
+"""What others read of a gateway, where its owner keeps it: the door, the handover's document, tests."""
+
+from __future__ import annotations
+
+from operator import attrgetter
+from typing import Any
+
+
+def _alias(path: str) -> Any:
+    """A property that reads and writes an attribute of a part, as ``part.name`` says."""
+    owner, name = path.split(".")
+    get = attrgetter(owner)
+    return property(attrgetter(path), lambda self, value: setattr(get(self), name, value))
+
+
+class Views:
+    """The gateway's public names."""
+
+    settings, classes, now = _alias("context.settings"), _alias("context.classes"), _alias("context.now")
+    started_at, timers, random = _alias("context.since"), _alias("context.timers"), _alias("context.random")
+    most_worth = _alias("context.most_worth")
+    logged, sends = _alias("context.logged"), _alias("decay.sends")
+    flights, parked = _alias("hand.flights"), _alias("hand.parked")
+    servers, ready, cold = _alias("fleet.servers"), _alias("fleet.ready"), _alias("fleet.cold")
+    by_hand, draining, left = _alias("fleet.out"), _alias("operators.draining"), _alias("operators.left")
+    plans, gateways = _alias("epochs.plans"), _alias("epochs.gateways")
+    customers, fresh = _alias("book.known"), _alias("ceilings.fresh")
+    pool, young, ends_at = _alias("pressure.size"), _alias("pressure.young"), _alias("answers.ends_at")
+    latency, quick, marks = _alias("latencies.mean"), _alias("latencies.quick"), _alias("shares.marks")
+    retries, handed, pooled = _alias("attempts.retries"), _alias("handover.handed"), _alias("reports.linking")
+    tally, tokens, drains = _alias("answers.tally"), _alias("context.tokens"), _alias("operators.drains")
+    in_hand, reserved_units = _alias("hand.places"), _alias("hand.reserved_units")
+    share, ceiling_level = _alias("meter.share"), _alias("ceilings.level")
+    relist, arm, actions = _alias("lists.relist"), _alias("context.arm"), _alias("context.actions")
--- a/tests/test_by_hand.py
+++ b/tests/test_by_hand.py
@@ -19,7 +19,7 @@
     SetUsable,
     Status,
 )
-from brackenloft.logic import MOST_OUT
+from brackenloft.policy.drain import MOST_OUT
 
 
 def used(rig: Rig, count: int = 60) -> set[int]:
--- a/tests/test_change.py
+++ b/tests/test_change.py
@@ -9,7 +9,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from brackenloft import HandOver, Limits, NewSettings, Plan, Status, change, state
+from brackenloft import HandOver, Limits, NewSettings, Plan, Status, state
+from brackenloft.policy import change, customers
 
 QUOTA = Plan("q", rate=2.0, burst=8.0)
 CEILING = Plan("q", rate=100.0, burst=1000.0, ceiling_rate=10.0, ceiling_burst=20.0)
@@ -87,7 +88,7 @@
     rig.run(4.0)
     assert 0 < sum(one.epoch == 2 for one in held) < count
     rig.run(1000.0)
-    assert all(one.epoch == 2 for one in held) and not rig.gateway.changes.past
+    assert all(one.epoch == 2 for one in held) and not rig.gateway.epochs.past
     assert {one.excess for one in held} == {2000.0} and len(held) == count
 
 
@@ -101,9 +102,9 @@
             while name not in rig.answers:
                 rig.finish(name, Status.ERROR)
     rig.run(5000.0)
-    changes, gateway = rig.gateway.changes, rig.gateway
-    assert len(changes.retired) <= change.MOST_RETIRED and not changes.past
-    assert len(gateway.customers) <= change.MOST_RETIRED + 1
+    changes, gateway = rig.gateway.epochs, rig.gateway
+    assert len(changes.retired) <= customers.MOST_RETIRED and not changes.past
+    assert len(gateway.customers) <= customers.MOST_RETIRED + 1
     tell(rig)
     assert len(gateway.latency) == len(gateway.quick) == len(CLASSES) + 1
     assert all(len(marks) <= 20 for marks in [gateway.marks, *(s.marks for s in gateway.servers.values())])
@@ -256,13 +257,13 @@
     rig = a_rig()
     sent(rig, 3, plan="metered")
     gateway = rig.gateway
-    monkeypatch.setattr(type(gateway), "first_latency", lambda self, kind: 1 / 0)
+    monkeypatch.setattr(type(gateway.pressure), "means", lambda self, kinds: 1 / 0)
     watched = ("settings", "classes", "plans", "latency", "quick", "most_worth", "gateways", "pool", "cold")
     before = {name: getattr(gateway, name) for name in watched}
     with pytest.raises(ZeroDivisionError):
         tell(rig, classes=(replace(CLASSES[0], name="new"),), gateways=7)
     assert all(getattr(gateway, name) is before[name] for name in watched)
-    assert gateway.changes.epoch == 0 and not gateway.changes.past and not gateway.changes.retired
+    assert gateway.epochs.epoch == 0 and not gateway.epochs.past and not gateway.epochs.retired
 
 
 def test_state_of_a_process_with_other_settings_is_fitted_or_left_customer_by_customer():
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -59,7 +59,7 @@
         """All that a refused file must leave as it was."""
         decisions, clients, servers = self.driver.gateway, self.gateway.clients, self.gateway.servers
         return (decisions.settings, decisions.plans, decisions.classes, decisions.gateways, decisions.pool,
-                decisions.changes.epoch, {k: (c.excess, c.touched) for k, c in decisions.customers.items()},
+                decisions.epochs.epoch, {k: (c.excess, c.touched) for k, c in decisions.customers.items()},
                 clients.commands, clients.most_connections, servers.readings, servers.most_connections,
                 servers.connect_timeout_s, servers.idle_limit_s, self.discovery.address,
                 self.discovery.longest_s, self.door.server, self.reload.config, self.reload.revision,
@@ -166,7 +166,7 @@
     async def test():
         async with configured(tmp_path, FakeServer()) as made:
             before = made.state()
-            monkeypatch.setattr(type(made.driver.gateway), "first_latency", lambda self, kind: 1 / 0)
+            monkeypatch.setattr(type(made.driver.gateway.pressure), "means", lambda self, kinds: 1 / 0)
             made.document["discovery"] = "127.0.0.1:9"
             made.write(services=[SERVICE, calm(name="new")])
             assert "the decisions failed" in await made.tell("RELOAD")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -389,8 +389,9 @@
 
 def test_of_a_large_fleet_few_servers_are_compared():
     rig, compared = fleet(300), []
-    cost = rig.gateway._cost
-    rig.gateway._cost = lambda flight, server: compared.append(server) or cost(flight, server)
+    cost = rig.gateway.choice.cost
+    rig.gateway.choice.cost = lambda flight, server, priors: (
+        compared.append(server) or cost(flight, server, priors))
     for _ in range(50):
         rig.finish(rig.ask())
     assert 50 * 10 <= len(compared) <= 50 * 20
