Choose a server at a cost that does not grow with the list

Need: a resend built two lists of all ready servers and looked each quick one up in them: 24.5 ms at 20,000 servers listed. A first decision walked all cold servers, and for as long as no list came, those that had become warm since were compared for every request. Change: the fleet's table keeps groups (all, zone, cell) with places, made once a list, seen without those tried; cold servers sorted by phase, so that a turn is found by bisection; servers owed a turn by hand apart. The shares of failures of one server are found in one call. Servers that have become warm since the last list are compared as any others are.

--- a/brackenloft/policy/admission.py
+++ b/brackenloft/policy/admission.py
@@ -96,7 +96,7 @@
             last = flight.arrived + self._useful(flight.kind) - self.context.now
             self.context.arm(max(0.0, last), self._end_park, flight)
         parked[flight.request.request_id] = flight
-        if self.choice.fleet.servers and self.pressure.crowded(len(parked)):
+        if self.choice.fleet.servers and len(parked) > max(1.0, self.pressure.size):
             self.answers.give_up(min(parked.values(), key=self.pressure.value), "crowded")
         if wait and not flight.closed and not flight.waiting:
             flight.waiting = True  # one timer each: every outcome tries all that are parked again
@@ -111,6 +111,8 @@
 
     def retry_parked(self) -> None:
         """Whatever waits may go now: try it, what is worth most first."""
+        if not self.hand.parked:
+            return
         for flight in sorted(self.hand.parked.values(), key=self.pressure.value, reverse=True):
             if not flight.closed:
                 self._release(flight)
--- a/brackenloft/policy/change.py
+++ b/brackenloft/policy/change.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from brackenloft.interface import NewSettings, Plan
-from brackenloft.policy.customers import Customers
+from brackenloft.interface import HandOver, NewSettings, Plan
+from brackenloft.policy.handover import Handover
 from brackenloft.policy.health import Health
 from brackenloft.policy.lists import Lists
-from brackenloft.tables import Context, Hand, Key
+from brackenloft.tables import Key
 
 SETTLE_MS = 4000.0  # the platform gives a change of configuration so long: others may go by the old one
 STEP = 100  # customers brought up to date in a step
@@ -29,12 +29,10 @@
 class Changes:
     """Owns the bounds of what is in hand while settings change; hands the settings to every part."""
 
-    def __init__(
-        self, context: Context, customers: Customers, health: Health, lists: Lists, hand: Hand,
-        again: Callable[[], None],
-    ) -> None:
-        self.context, self.customers, self.epochs = context, customers, customers.epochs
-        self.health, self.lists, self.pressure, self.hand = health, lists, lists.pressure, hand
+    def __init__(self, handover: Handover, health: Health, lists: Lists, again: Callable[[], None]) -> None:
+        self.context, self.handover, self.hand = handover.context, handover, handover.hand
+        self.customers, self.epochs = handover.customers, handover.customers.epochs
+        self.health, self.lists, self.pressure = health, lists, lists.pressure
         self.again = again  # tries again what is parked
 
     def take(self, event: NewSettings) -> bool:
@@ -102,8 +100,10 @@
                 customer.strict, customer.strict_epoch = bounds[customer.key], self.epochs.epoch
                 customer.older += 1
 
-    def hand_over(self) -> None:
-        """Bring all up to this moment: the next process may go by other settings from here on."""
+    def hand_over(self, _: HandOver) -> None:
+        """The next process takes over, and may go by other settings: all are brought up to this moment."""
+        self.handover.handed = True
         self._turn(self.epochs.plans, self.epochs.gateways)
         self._keep_in_hand({})
         self.customers.step(len(self.epochs.lagging))
+        self.context.log(f"handed over with {len(self.hand.flights)} requests in hand")
--- a/brackenloft/policy/choice.py
+++ b/brackenloft/policy/choice.py
@@ -4,8 +4,8 @@
 from brackenloft.policy.cold import Cold
 from brackenloft.policy.health import Health, Priors
 from brackenloft.policy.pressure import Pressure
-from brackenloft.policy.resend import in_group
-from brackenloft.tables import Context, Flight, Reports, Server
+from brackenloft.policy.resend import group
+from brackenloft.tables import Flight, Reports, Server
 
 QUEUE_WEIGHT = 1.0  # requests out that one reported as waiting stands for
 CROSS_WEIGHT = 10.0  # how many times its price a zone crossing weighs against a mean latency
@@ -17,12 +17,10 @@
 class Choice:
     """Weighs what is known of servers; owns nothing."""
 
-    def __init__(
-        self, context: Context, reports: Reports, health: Health, pressure: Pressure, cold: Cold,
-    ) -> None:
-        self.context, self.reports, self.fleet = context, reports, reports.fleet
+    def __init__(self, reports: Reports, health: Health, pressure: Pressure, cold: Cold) -> None:
+        self.context, self.reports, self.fleet = reports.context, reports, reports.fleet
         self.health, self.latencies, self.cold = health, pressure.latencies, cold
-        self.decay, self.random = context.decay, context.random
+        self.decay, self.random = self.context.decay, self.context.random
 
     def cost(self, flight: Flight, server: Server, priors: Priors) -> float:
         """The wait expected at a server, in mean latencies."""
@@ -40,25 +38,26 @@
 
     def first(self, flight: Flight) -> Server | None:
         """For a first attempt: one that is owed a turn, or the best that the request may go to."""
-        now = self.context.now
-        owed = [server for server in self.fleet.cold if server.ready and server.owed_at <= now]
-        if owed:
-            return owed[0]
+        if owed := self.fleet.due(self.context.now):
+            return owed
         few = self.fleet.ready
         if len(few) > 2 * SAMPLE:
-            few = self.random.sample(few, SAMPLE) + [*self._quick(flight), *self.fleet.cold]
+            turns = self.fleet.in_phase((1.0 - flight.turn) % 1.0, self.cold.widest_turn(len(few)))
+            few = [*self.random.sample(few, SAMPLE), *self._quick(flight), *turns]
         return self._best(flight, few)
 
     def again(self, flight: Flight) -> Server | None:
         """For a further attempt: one in its group not tried yet; a request with a key may try one again."""
-        now = self.context.now
-        group = [server for server in self.fleet.ready if in_group(flight, server, now)]
-        few = [server for server in group if server.id not in flight.tried]
-        if not few and flight.kind.effect is Effect.KEYED:
-            few = group
-        if len(few) > 2 * SAMPLE:
-            few = self.random.sample(few, SAMPLE) + [s for s in self._quick(flight) if s in few]
-        return self._best(flight, few)
+        key = group(flight, self.context.now)
+        if key is None:
+            return None
+        others = self.fleet.others(key, flight.tried)
+        if not others and flight.kind.effect is Effect.KEYED:
+            others = self.fleet.others(key, ())
+        if len(others) <= 2 * SAMPLE:
+            return self._best(flight, list(others))
+        quick = [server for server in self._quick(flight) if server in others]
+        return self._best(flight, self.random.sample(others, SAMPLE) + quick)
 
     def _quick(self, flight: Flight) -> list[Server]:
         return list(self.latencies.quick[flight.kind.name].values())
--- a/brackenloft/policy/cold.py
+++ b/brackenloft/policy/cold.py
@@ -3,6 +3,7 @@
 from brackenloft.tables import Context, Flight, Server
 
 COLD_SAFETY = 0.33  # of the tipping budget that a full fleet's even share may use: chance and heavy requests
+ROUNDING = 1e-9  # a turn found by its phase is checked exactly: none may be missed
 
 
 class Cold:
@@ -31,5 +32,11 @@
         warmth = self.warmth(server)
         if warmth >= 1.0:
             return True
-        even = min(1.0, COLD_SAFETY * self.context.settings.contract.tip_multiple)
-        return (flight.turn + server.phase) % 1.0 < even * warmth / ready
+        return (flight.turn + server.phase) % 1.0 < self._even() * warmth / ready
+
+    def widest_turn(self, ready: int) -> float:
+        """The share of all requests, 0 to 1, that a server as warm as can be may have in its turn."""
+        return self._even() / ready + ROUNDING
+
+    def _even(self) -> float:
+        return min(1.0, COLD_SAFETY * self.context.settings.contract.tip_multiple)
--- a/brackenloft/policy/gateway.py
+++ b/brackenloft/policy/gateway.py
@@ -37,21 +37,21 @@
         self.book = Customers(context, self.meter, self.ceilings)
         self.epochs = self.book.epochs
         self.reports = Reports(context, self.fleet)
-        self.choice = Choice(context, self.reports, self.health, self.pressure, self.warming)
+        self.choice = Choice(self.reports, self.health, self.pressure, self.warming)
         self.handover = Handover(context, self.hand, self.book)
         self.answers = Answers(context, self.pressure, self.handover)
         self.attempts = Attempts(context, self.ceilings, self.choice, self.answers)
         self.admission = Admission(context, self.book, self.attempts)
         self.retry_parked = self.admission.retry_parked
-        self.lists = Lists(context, self.fleet, self.warming, self.pressure, self.epochs)
+        self.lists = Lists(self.fleet, self.warming, self.pressure, self.epochs)
         self.operators = Operators(context, self.lists)
-        self.changes = Changes(context, self.book, self.health, self.lists, self.hand, self.retry_parked)
+        self.changes = Changes(self.handover, self.health, self.lists, self.retry_parked)
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.Request: self._on_request, api.ClientGone: self.answers.gone,
             api.Outcome: self._freeing(self.attempts.ended), api.ServerList: self._freeing(self.lists.take),
             api.StreamStarted: self._freeing(self.attempts.streams), api.TimerFired: context.fire,
             api.ServerByHand: self._freeing(self.operators.by_hand), api.Drain: self.operators.drain,
-            api.Stopping: self.answers.stop, api.HandOver: self._on_hand_over,
+            api.Stopping: self.answers.stop, api.HandOver: self.changes.hand_over,
             api.Elsewhere: self._freeing(self.handover.hear), api.OtherGone: self._freeing(self.handover.end),
             api.NewSettings: self._freeing(self.changes.take), api.Linked: self.reports.linked,
             api.ProbeResult: self.reports.probed,
@@ -84,7 +84,3 @@
             self.answers.refuse(event.request_id, ELSEWHERE_MS)
         else:
             self.admission.request(event, kind, plan)
-
-    def _on_hand_over(self, _: api.HandOver) -> None:
-        self.changes.hand_over()
-        self.handover.begin()
--- a/brackenloft/policy/handover.py
+++ b/brackenloft/policy/handover.py
@@ -12,11 +12,6 @@
         self.context, self.hand, self.customers = context, hand, customers
         self.handed = False
 
-    def begin(self) -> None:
-        """The next process takes over."""
-        self.handed = True
-        self.context.log(f"handed over with {len(self.hand.flights)} requests in hand")
-
     def tell(self, customer: Customer, charged: float, used: float | None = None) -> None:
         """Once handed over: the units charged here, the reading of the meter, what is in hand now."""
         if self.handed:
--- a/brackenloft/policy/health.py
+++ b/brackenloft/policy/health.py
@@ -36,7 +36,7 @@
     def doubted(self, server: Server, key: str) -> bool:
         """Whether a server fails so often that a slow attempt is taken elsewhere."""
         prior = self.shares.prior(key or server.zone)
-        return self.shares.share(server, key, prior) >= DOUBTED
+        return self.shares.worst(server, (key,), (prior,)) >= DOUBTED
 
     def priors(self, flight: Flight) -> Priors:
         """What all servers showed to the request's class and plan: the same for each that is compared."""
@@ -50,6 +50,5 @@
         yet come after those that answered. Nothing is closed: the best of bad servers still gets work.
         Harm: slow answers by chance turn requests away from a good server.
         """
-        (whole, kind, both), shares = flight.keys, self.shares
-        return max(shares.share(server, whole, shares.prior(server.zone)),
-                   shares.share(server, kind, priors[0]), shares.share(server, both, priors[1]))
+        shares = self.shares
+        return shares.worst(server, flight.keys, (shares.prior(server.zone), *priors))
--- a/brackenloft/policy/lists.py
+++ b/brackenloft/policy/lists.py
@@ -3,7 +3,7 @@
 from brackenloft.interface import DiscoveryMode, ListKind, ServerList, Subscribe
 from brackenloft.policy.cold import Cold
 from brackenloft.policy.pressure import Pressure
-from brackenloft.tables import Context, Epochs, Fleet
+from brackenloft.tables import Epochs, Fleet
 
 ASK_SHARE = 0.5  # of the time in which discovery must be asked: room for one failed call
 
@@ -11,10 +11,8 @@
 class Lists:
     """Owns the fleet's table."""
 
-    def __init__(
-        self, context: Context, fleet: Fleet, cold: Cold, pressure: Pressure, epochs: Epochs,
-    ) -> None:
-        self.context, self.fleet, self.cold = context, fleet, cold
+    def __init__(self, fleet: Fleet, cold: Cold, pressure: Pressure, epochs: Epochs) -> None:
+        self.context, self.fleet, self.cold = cold.context, fleet, cold
         self.pressure, self.epochs = pressure, epochs
 
     def take(self, event: ServerList) -> bool:
--- a/brackenloft/policy/pressure.py
+++ b/brackenloft/policy/pressure.py
@@ -46,10 +46,6 @@
         """Whether no more may go out. A pool of 1.4: one out for each, a second for four turns in ten."""
         return len(self.young) >= self.size - turn
 
-    def crowded(self, waiting: int) -> bool:
-        """Whether more wait than go at once."""
-        return waiting > max(1.0, self.size)
-
     def turns_ms(self, kind: RequestClass, waiting: int) -> float:
         """How long so many that wait take to have had their turns, each pool of them in a mean latency."""
         return (1.0 + waiting / max(1.0, self.size)) * self.latencies.mean[kind.name]
--- a/brackenloft/policy/resend.py
+++ b/brackenloft/policy/resend.py
@@ -1,21 +1,22 @@
 """What may be sent again, by its class: where to, and what a client may be told of it. Owns nothing."""
 
 from brackenloft.interface import Effect, KeyScope
-from brackenloft.tables import Flight, Server
+from brackenloft.tables import Flight, Group
 
+EVERYWHERE: Group = ()
 
-def in_group(flight: Flight, server: Server, now: float) -> bool:
-    """Whether the request may go to this server at this time (ms), by what may have run already."""
+
+def group(flight: Flight, now: float) -> Group | None:
+    """The servers that the request may go to at this time (ms), by what may have run already; None: none."""
     if flight.maybe_ran is None or flight.kind.effect is Effect.SAFE:
-        return True
-    if flight.kind.effect is Effect.UNSAFE:
-        return False
+        return EVERYWHERE
     first, sent = flight.maybe_ran
-    if now - sent >= flight.kind.key_memory_ms:
-        return False
+    if flight.kind.effect is Effect.UNSAFE or now - sent >= flight.kind.key_memory_ms:
+        return None
     scope = flight.kind.key_scope
-    return scope is KeyScope.ALL or (
-        server.zone == first.zone and (scope is KeyScope.ZONE or server.cell == first.cell))
+    if scope is KeyScope.ALL:
+        return EVERYWHERE
+    return (first.zone,) if scope is KeyScope.ZONE else (first.zone, first.cell)
 
 
 def harmless(flight: Flight) -> bool:
--- a/brackenloft/tables/__init__.py
+++ b/brackenloft/tables/__init__.py
@@ -3,11 +3,11 @@
 from brackenloft.tables.context import Context
 from brackenloft.tables.epochs import Epochs
 from brackenloft.tables.estimates import Latencies, Reports, Shares
-from brackenloft.tables.fleet import Fleet
+from brackenloft.tables.fleet import Fleet, Group
 from brackenloft.tables.hand import Hand
 from brackenloft.tables.rows import Customer, Flight, Key, Mark, Moment, Server
 from brackenloft.tables.tally import Tally
 from brackenloft.tables.views import Views
 
-__all__ = ["Context", "Customer", "Epochs", "Fleet", "Flight", "Hand", "Key", "Latencies", "Mark", "Moment",
-           "Reports", "Server", "Shares", "Tally", "Views"]
+__all__ = ["Context", "Customer", "Epochs", "Fleet", "Flight", "Group", "Hand", "Key", "Latencies", "Mark",
+           "Moment", "Reports", "Server", "Shares", "Tally", "Views"]
--- a/brackenloft/tables/decay.py
+++ b/brackenloft/tables/decay.py
@@ -22,5 +22,5 @@
 
     def left(self, then: Moment) -> float:
         """The share, 0 to 1, that is left of a figure noted then."""
-        age = min((self.now - then[0]) / self.time_ms, (self.sends - then[1]) / self.servers)
-        return exp(-age)
+        in_time, in_sends = (self.now - then[0]) / self.time_ms, (self.sends - then[1]) / self.servers
+        return exp(-in_time if in_time < in_sends else -in_sends)
--- a/brackenloft/tables/estimates.py
+++ b/brackenloft/tables/estimates.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 from brackenloft.interface import Linked, ProbeResult
 from brackenloft.tables.context import Context
@@ -32,14 +32,19 @@
         bad, seen, _ = self.marks.get(everywhere, (0.0, 0.0, NEVER))
         return self.prior_weight * bad / (seen + 1.0)
 
-    def share(self, server: Server, key: str, prior: float) -> float:
-        """The share of failures expected at a server, 0 to 1."""
-        mark = server.marks.get(key)
-        if mark is None:
-            return prior / self.prior_weight
-        bad, seen, then = mark
-        fade = self.decay.left(then) if seen else 0.0
-        return (bad * fade + prior) / (seen * fade + self.prior_weight)
+    def worst(self, server: Server, names: Sequence[str], priors: Sequence[float]) -> float:
+        """The largest share of failures, 0 to 1, expected at a server under these keys with their priors."""
+        worst, marks, weight = 0.0, server.marks, self.prior_weight
+        for name, prior in zip(names, priors, strict=True):
+            mark = marks.get(name)
+            if mark is None or not mark[1]:
+                share = prior / weight
+            else:
+                fade = self.decay.left(mark[2])
+                share = (mark[0] * fade + prior) / (mark[1] * fade + weight)
+            if share > worst:
+                worst = share
+        return worst
 
     def keep(self, classes: Iterable[str], plans: Iterable[str], servers: Iterable[Server]) -> None:
         """Forget every key of a class or plan that is not among these: bounded however many come and go."""
--- a/brackenloft/tables/fleet.py
+++ b/brackenloft/tables/fleet.py
@@ -2,12 +2,38 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from bisect import bisect_left
+from collections.abc import Callable, Collection, Mapping, Sequence
+from math import inf
 from random import Random
+from typing import Any
 
 from brackenloft.interface import ListKind, ServerEntry, ServerList, ServerState
 from brackenloft.tables.rows import Server
 
+Group = tuple[()] | tuple[str] | tuple[str, int]  # all servers, those of a zone, of a cell in a zone
+
+
+class Others(Sequence[Server]):
+    """Servers of a list without those at some places (ascending), seen and not copied."""
+
+    def __init__(self, servers: list[Server], places: Mapping[int, int], gaps: list[int]) -> None:
+        self.servers, self.places, self.gaps = servers, places, gaps
+
+    def __len__(self) -> int:
+        return len(self.servers) - len(self.gaps)
+
+    def __getitem__(self, number: Any) -> Any:
+        for gap in self.gaps:
+            if gap > number:
+                break
+            number += 1
+        return self.servers[number]
+
+    def __contains__(self, server: object) -> bool:
+        place = self.places.get(server.id) if isinstance(server, Server) else None
+        return place is not None and place not in self.gaps and self.servers[place] is server
+
 
 class Fleet:
     """Servers by number. ``ready`` and ``cold`` are as of the last ``relist``, in the order of the lists."""
@@ -18,6 +44,9 @@
         self.servers: dict[int, Server] = {}
         self.ready: list[Server] = []
         self.cold: list[Server] = []
+        self.owed: dict[int, Server] = {}  # put back by hand, and to be used by a certain time
+        self._groups: dict[Group, tuple[list[Server], dict[int, int]]] = {}
+        self._phases: list[tuple[float, int]] = []  # of cold servers, with their places
 
     def update(self, event: ServerList) -> None:
         """Take over discovery's news; those that are not in a whole list are listed no more."""
@@ -60,9 +89,40 @@
             server.reset()
             server.started = server.back = started
             server.owed_at = owed_at
+            self.owed[number] = server
             server.ready = server.listed
 
     def relist(self, cold: Callable[[Server], bool]) -> None:
         """Note which servers are ready, and which of them are cold."""
         self.ready = [server for server in self.servers.values() if server.ready]
         self.cold = [server for server in self.ready if cold(server)]
+        self._groups = {}
+        self._phases = sorted((server.phase, place) for place, server in enumerate(self.cold))
+
+    def others(self, key: Group, tried: Collection[int]) -> Others:
+        """The ready servers of a group but for those tried. A group is made once for each list."""
+        found = self._groups.get(key)
+        if found is None:
+            servers = [s for s in self.ready if key == (s.zone, s.cell)[:len(key)]]
+            found = self._groups[key] = servers, {server.id: n for n, server in enumerate(servers)}
+        servers, places = found
+        return Others(servers, places, sorted(places[number] for number in tried if number in places))
+
+    def in_phase(self, low: float, width: float) -> list[Server]:
+        """Cold servers with phases from ``low`` on, as far as ``width``, round one; in the lists' order."""
+        if width >= 1.0:
+            return self.cold
+        phases, high = self._phases, low + width
+        found = phases[bisect_left(phases, (low, -1)):bisect_left(phases, (high, -1))]
+        if high > 1.0:
+            found += phases[:bisect_left(phases, (high - 1.0, -1))]
+        return [self.cold[place] for place in sorted(place for _, place in found)]
+
+    def due(self, now: float) -> Server | None:
+        """A cold server that was put back by hand and must be used by now; the first of the list."""
+        if not self.owed:
+            return None
+        listed = self.servers
+        self.owed = {n: s for n, s in self.owed.items() if s.owed_at < inf and listed.get(n) is s}
+        due = {n for n, server in self.owed.items() if server.owed_at <= now}
+        return next((server for server in self.cold if due and server.ready and server.id in due), None)
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -54,8 +54,8 @@
     names = (
         "settings random classes plans customers servers flights parked timers tokens now started_at ends_at "
         "gateways changes latency retries young pool marks quick sends by_hand drains handed pooled draining "
-        "left ready cold logged tally actions handlers handle share ceiling_level retry_parked relist in_hand "
-        "reserved_units arm most_worth")
+        "left ready cold logged tally actions handlers handle share ceiling_level retry_parked relist "
+        "in_hand reserved_units arm most_worth")
     made = Rig().gateway
     assert not [name for name in names.split() if not hasattr(made, name)]
     made.pool = 6.0
--- /dev/null
+++ b/tests/test_package.py
@@ -0,0 +1,194 @@
+"""Decisions alone, without a gateway; costs that must not grow with the fleet; hard cases of the package."""
+
+from dataclasses import replace
+
+import pytest
+from conftest import SETTINGS, Rig, entry
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from brackenloft import (
+    Effect,
+    ListKind,
+    NewSettings,
+    Plan,
+    Request,
+    RequestClass,
+    ServerList,
+    ServerState,
+    Status,
+)
+from brackenloft.policy.ceilings import Ceilings
+from brackenloft.policy.cold import Cold
+from brackenloft.policy.customers import Customers
+from brackenloft.policy.health import Health
+from brackenloft.policy.meter import Meter
+from brackenloft.policy.pressure import Pressure
+from brackenloft.policy.resend import group, harmless
+from brackenloft.tables import Context, Customer, Fleet, Flight, Server
+
+METERED, CAPPED = (next(p for p in SETTINGS.plans if p.name == name) for name in ("metered", "only-cap"))
+
+
+def context(now=1000.0, **changes) -> Context:
+    made = Context(replace(SETTINGS, **changes), 1, 4000.0)
+    made.begin(now)
+    return made
+
+
+def flight(kind: RequestClass, now=1000.0, turn=0.5, name="r") -> Flight:
+    request = Request(name, kind.name, "free", "c", 4000.0)
+    return Flight(request, kind, Plan("free"), Customer(("free", "c"), now, 0.0, 0), now, turn, 0)
+
+
+# ---- Each decision without the others
+
+def test_the_meter_holds_then_refuses_and_drains():
+    meter, customer = Meter(context()), Customer(("metered", "c"), 0.0, 0.0, 0)
+    customer.width, customer.largest = 2, 1.0
+    holds = [meter.take(customer, METERED, 1.0, 0.0) for _ in range(9)]  # a slice of 5 a second, burst 4
+    assert holds == [0.0] * 4 + [200.0, 400.0, 600.0, 800.0, float("inf")]
+    assert meter.advice(customer, METERED, 1.0, 0.0) == 1000.0 and not meter.as_new(customer, METERED, 1599.0)
+    assert meter.as_new(customer, METERED, 4000.0)
+
+
+def test_a_ceiling_starts_at_nought_and_a_cap_is_one_at_least():
+    made = context(now=0.0)
+    ceilings = Ceilings(made, Meter(made))
+    plan = Plan("x", ceiling_rate=10.0, ceiling_burst=20.0, max_in_flight=1)
+    waiting = flight(SETTINGS.classes[0])
+    waiting.plan, waiting.customer = plan, Customer(("x", "c"), 0.0, ceilings.fresh_level(plan, 1, 0.0), 0)
+    assert ceilings.wait(waiting, 0.0) == 100.0 and ceilings.wait(waiting, 100.0) == 0.0
+    ceilings.draw(waiting, 100.0)
+    assert ceilings.level(waiting.customer, plan, 100.0) == 0.0
+    assert not ceilings.capped(waiting, 0.0)
+    waiting.customer.out = 1
+    assert ceilings.capped(waiting, 0.0)
+
+
+def test_health_tells_a_class_from_a_server_and_forgets():
+    made = context()
+    health, bad, good = Health(made), Server(entry(1), 0.1), Server(entry(2), 0.2)
+    one, other = (flight(kind) for kind in SETTINGS.classes[:2])
+    for _ in range(4):
+        health.judge(one, bad, Status.ERROR)
+        health.judge(one, good, Status.OK)
+    doubts = [[health.doubt(f, server, health.priors(f)) for server in (bad, good)] for f in (one, other)]
+    assert doubts[0][0] > 0.7 > 0.2 > doubts[0][1] and doubts[1][0] < 0.1
+    made.begin(61_000.0)
+    made.decay.sends = 1000
+    assert health.doubt(one, bad, (0.0, 0.0)) < 0.01
+
+
+def test_the_pool_moves_by_what_answers_show():
+    pressure, server, kind = Pressure(context()), Server(entry(1), 0.1), SETTINGS.classes[0]
+    pressure.begin(servers=10, gateways=2)
+    assert pressure.size == 10.0 and not pressure.full()
+    pressure.young = {(str(n), 0) for n in range(10)}
+    assert pressure.full()
+    pressure.answered(server, kind, 0.1 * kind.aim_ms)
+    assert pressure.size == pytest.approx(10.035) and 1 in pressure.latencies.quick[kind.name]
+    pressure.answered(server, kind, 0.9 * kind.aim_ms)
+    assert pressure.size == pytest.approx(9.735) and not pressure.latencies.quick[kind.name]
+
+
+@pytest.mark.parametrize("effect, scope, age, first, wanted, told", [
+    (Effect.SAFE, "all", 9e9, True, (), True), (Effect.UNSAFE, "all", 0.0, True, None, False),
+    (Effect.UNSAFE, "all", 0.0, False, (), True), (Effect.KEYED, "all", 100.0, True, (), True),
+    (Effect.KEYED, "zone", 100.0, True, ("b",), False), (Effect.KEYED, "cell", 100.0, True, ("b", 7), False),
+    (Effect.KEYED, "zone", 3000.0, True, None, False), (Effect.KEYED, "cell", 3000.0, False, (), True),
+])
+def test_where_a_request_may_go_again_and_what_its_client_is_told(effect, scope, age, first, wanted, told):
+    scopes = {item.key_scope.value: item.key_scope for item in SETTINGS.classes}
+    kind = RequestClass("k", 1000.0, 4000.0, effect, key_scope=scopes[scope], key_memory_ms=3000.0)
+    made = flight(kind)
+    made.maybe_ran = (Server(entry(1, "b", cell=7), 0.0), 1000.0) if first else None
+    assert group(made, 1000.0 + age) == wanted and harmless(made) is told
+
+
+# ---- The tables choose as a plain loop over the whole list would
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.integers(0, 60), st.integers(0, 2**32), st.floats(0.0, 1.0, exclude_max=True))
+def test_the_fleets_tables_find_what_a_loop_finds(size, seed, turn):
+    made = Context(SETTINGS, seed, 4000.0)
+    made.begin(5000.0)
+    fleet, cold = Fleet(made.random), Cold(made)
+    states = (ServerState.READY, ServerState.DRAINING)
+    fleet.update(ServerList(ListKind.FULL, tuple(
+        entry(n, "ab"[n % 2], cell=n % 3, started_ms=made.random.choice((0.0, 4000.0)),
+              state=made.random.choice(states)) for n in range(size))))
+    fleet.relist(lambda server: cold.warmth(server) < 1.0)
+    asked, ready = flight(SETTINGS.classes[0], turn=turn), [s for s in fleet.servers.values() if s.ready]
+    tried = {n for n in range(size) if made.random.random() < 0.1}
+    for key in [(), ("a",), ("b", 1), ("c",)]:
+        wanted = [s for s in ready if s.id not in tried and key == (s.zone, s.cell)[:len(key)]]
+        found = fleet.others(key, tried)
+        assert list(found) == wanted and len(found) == len(wanted)
+        assert [s for s in fleet.servers.values() if s in found] == wanted
+    if ready:
+        turns = [s for s in fleet.cold if cold.in_turn(asked, s, len(ready))]
+        near = fleet.in_phase((1.0 - turn) % 1.0, cold.widest_turn(len(ready)))
+        assert [s for s in near if cold.in_turn(asked, s, len(ready))] == turns
+
+
+class Counted(list):
+    """A list that counts the items it hands out."""
+
+    seen = 0
+
+    def __iter__(self):
+        for item in super().__iter__():
+            type(self).seen += 1
+            yield item
+
+    def __getitem__(self, place):
+        type(self).seen += 1
+        return super().__getitem__(place)
+
+
+@pytest.mark.parametrize("cold", [0, 2], ids=["warm", "half of them cold"])
+def test_no_decision_walks_the_list(cold):
+    seen = []
+    for size in (200, 20_000):
+        rig = Rig(replace(SETTINGS, gateways=1))
+        rig.servers(*(entry(n, "abc"[n % 3], cell=n % 50, started_ms=500.0 if cold and n % cold else 0.0)
+                      for n in range(size)))
+        fleet = rig.gateway.fleet
+        rig.finish(rig.ask(), Status.RESET)  # a group is made once for each list
+        Counted.seen = 0
+        fleet.ready, fleet.cold = Counted(fleet.ready), Counted(fleet.cold)
+        fleet._groups = {key: (Counted(found[0]), found[1]) for key, found in fleet._groups.items()}
+        for _ in range(40):
+            name = rig.ask()
+            rig.finish(name, Status.RESET)
+            rig.finish(name)
+        seen.append(Counted.seen)
+    assert 40 * 10 <= seen[1] <= 40 * 45 and seen[1] <= 1.5 * seen[0] + 100
+
+
+# ---- Hard cases
+
+def test_customers_are_forgotten_at_the_bound_and_their_number_stays_bounded():
+    made = context(now=0.0)
+    book = Customers(made, Meter(made), Ceilings(made, Meter(made)))
+    for number in range(3000):
+        made.begin(100.0 * number)
+        book.find(Request(str(number), "safe", "metered", f"c{number}", 1000.0, 1.0), METERED)
+    assert 40 <= len(book.known) <= 42  # four seconds of them, and whoever is met
+
+
+def test_settings_that_change_between_two_attempts_keep_the_class_and_lift_no_bound():
+    kind = replace(SETTINGS.classes[2], key_memory_ms=3000.0)
+    rig = Rig(replace(SETTINGS, classes=(SETTINGS.classes[0], kind), gateways=1))
+    rig.servers(entry(1, "a"), entry(2, "a"), entry(3, "b"))
+    name = rig.ask("only-cap", kind.name, width=1)
+    zone = "b" if rig.sent[name] == [3] else "a"
+    rig.do(NewSettings(replace(rig.gateway.settings, classes=SETTINGS.classes[:1],
+                               plans=(replace(CAPPED, max_in_flight=9), Plan("free")))))
+    rig.finish(name, Status.RESET)  # resent under its own class, which is gone: within its zone, by its key
+    assert len(rig.sent[name]) == 2 and (rig.sent[name][1] == 3) == (zone == "b")
+    (mine,) = (c for c in rig.gateway.customers.values() if c.key[0] == "only-cap")
+    assert mine.strict and mine.strict.max_in_flight == 2
+    rig.finish(name)
+    assert mine.strict is None and rig.answers[name] == "Ok"
