Keep a customer's row while a request of it is in hand

Cause: a row was forgotten once it looked as new and nothing of it was out; a request that was held or parked did not count. At fault: the test 'old.out or old.elsewhere' in _forget_one. Change: a row counts its requests in hand (Customer.held) and is kept while there are any; it goes behind the others, so that one that waits or streams for long no longer stops the forgetting of all rows behind it.

--- a/brackenloft/policy/admission.py
+++ b/brackenloft/policy/admission.py
@@ -51,7 +51,7 @@
             customer.excess, customer.touched = before
             self._refuse(event, customer, plan, "quota")
             return
-        self.hand.flights[event.request_id] = flight
+        self.hand.take(flight)
         answers.handover.tell(customer, event.units)
         answers.limit(flight)
         if hold > 0.0:
--- a/brackenloft/policy/answers.py
+++ b/brackenloft/policy/answers.py
@@ -95,8 +95,6 @@
         """Forget a request that has its answer and no attempt out."""
         if not flight.closed:
             return
-        self.hand.parked.pop(flight.request.request_id, None)
-        if not flight.out and flight.request.request_id in self.hand.flights:
-            del self.hand.flights[flight.request.request_id]
+        if self.hand.drop(flight):
             self.customers.ended(flight)
         self.handover.tell(flight.customer, 0.0)
--- a/brackenloft/policy/customers.py
+++ b/brackenloft/policy/customers.py
@@ -46,11 +46,14 @@
             old, plan = self.known[key], self.epochs.plan(key[0])
             if old.epoch != self.epochs.epoch:
                 self.catch_up(old)
+            if old.held or old.elsewhere:
+                self.known.move_to_end(key)  # its row holds the cap; those behind it need not wait for it
+                continue
             if plan is None:  # gone for so long that it is forgotten
                 del self.known[key]
                 return
             full = self.ceilings.level(old, plan, now) >= self.ceilings.fresh_level(plan, old.width, now)
-            if old.out or old.elsewhere or not full or not self.meter.as_new(old, plan, now):
+            if not full or not self.meter.as_new(old, plan, now):
                 return
             if len(self.known) > 1:
                 del self.known[key]
@@ -81,7 +84,7 @@
             customer = self.known.get(key)
             if customer and customer.epoch != self.epochs.epoch:
                 self.catch_up(customer)
-            if customer and self.epochs.plan(key[0]) is None and not customer.out:
+            if customer and self.epochs.plan(key[0]) is None and not customer.held:
                 del self.known[key]
         self.epochs.caught_up(count)
 
--- a/brackenloft/tables/hand.py
+++ b/brackenloft/tables/hand.py
@@ -15,6 +15,21 @@
         self.flights: dict[str, Flight] = {}
         self.parked: dict[str, Flight] = {}
 
+    def take(self, flight: Flight) -> None:
+        """A request is in hand from now on."""
+        self.flights[flight.request.request_id] = flight
+        flight.customer.held += 1
+
+    def drop(self, flight: Flight) -> bool:
+        """It has its answer: parked no more, and forgotten (true) once no attempt is out."""
+        request_id = flight.request.request_id
+        self.parked.pop(request_id, None)
+        if flight.out or request_id not in self.flights:
+            return False
+        del self.flights[request_id]
+        flight.customer.held -= 1
+        return True
+
     def send(self, flight: Flight, server: Server, now: float) -> int:
         """An attempt goes out; its number, from 0."""
         number = flight.sends
--- a/brackenloft/tables/rows.py
+++ b/brackenloft/tables/rows.py
@@ -25,7 +25,8 @@
     """What this gateway knows of one customer."""
 
     __slots__ = ("excess", "touched", "largest", "width", "used", "used_at", "out", "ceiling", "ceiling_at",
-                 "asked", "asked_at", "key", "elsewhere", "span", "epoch", "strict", "strict_epoch", "older")
+                 "asked", "asked_at", "key", "held", "elsewhere", "span", "epoch", "strict", "strict_epoch",
+                 "older")
 
     def __init__(self, key: Key, now: float, ceiling: float, epoch: int) -> None:
         self.key = key
@@ -43,6 +44,7 @@
         self.strict: Plan | None = None
         self.strict_epoch = self.older = 0
         self.out = 0  # attempts: out from here
+        self.held = 0  # requests in hand: while there are any, the row is not forgotten
         self.elsewhere = 0  # handover: in hand in the process before this one: places under the cap
 
 
