--- a/brackenloft/policy/pressure.py
+++ b/brackenloft/policy/pressure.py
@@ -31,7 +31,11 @@
 
     def means(self, kinds: Iterable[RequestClass]) -> dict[str, float]:
         """Mean latencies of these classes: as seen, or at first a share of the aim."""
-        return {kind.name: self.latencies.mean.get(kind.name, kind.aim_ms * FIRST_LATENCY) for kind in kinds}
+        return {kind.name: self.latencies.mean.get(kind.name, self.first_latency(kind)) for kind in kinds}
+
+    def first_latency(self, kind: RequestClass) -> float:
+        """A class's mean latency (ms) until answers have been seen."""
+        return kind.aim_ms * FIRST_LATENCY
 
     def begin(self, servers: int, gateways: int) -> None:
         """The first list: an even part of a cautious limit at each server."""
--- a/brackenloft/tables/views.py
+++ b/brackenloft/tables/views.py
@@ -5,6 +5,8 @@
 from operator import attrgetter
 from typing import Any
 
+from brackenloft.interface import Plan
+
 
 def _alias(path: str) -> Any:
     """A property that reads and writes an attribute of a part, as ``part.name`` says."""
@@ -31,4 +33,19 @@
     tally, tokens, drains = _alias("answers.tally"), _alias("context.tokens"), _alias("operators.drains")
     in_hand, reserved_units = _alias("hand.places"), _alias("hand.reserved_units")
     share, ceiling_level = _alias("meter.share"), _alias("ceilings.level")
+    first_latency = _alias("pressure.first_latency")
     relist, arm, actions = _alias("lists.relist"), _alias("context.arm"), _alias("context.actions")
+
+    @property
+    def tally_at(self) -> float:
+        """When the last line on what was given up was logged (ms)."""
+        return float(attrgetter("answers.tally.at")(self))
+
+    def news_ms(self) -> float:
+        """How long a reading of the meter is news (ms)."""
+        return float(attrgetter("meter.news_ms")(self))
+
+    def fresh_ceiling(self, plan: Plan, width: int) -> float:
+        """The units that a customer not seen since the start may have of its ceiling now."""
+        level = attrgetter("ceilings.fresh_level")(self)
+        return float(level(plan, width, self.now))
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 import pytest
-from conftest import Rig, entry, rig_with
+from conftest import SETTINGS, Rig, entry, rig_with
 
 from brackenloft import DiscoveryMode, ListKind, Plan, Settings, Subscribe
 
@@ -55,8 +55,12 @@
         "settings random classes plans customers servers flights parked timers tokens now started_at ends_at "
         "gateways changes latency retries young pool marks quick sends by_hand drains handed pooled draining "
         "left ready cold logged tally actions handlers handle share ceiling_level retry_parked relist "
-        "in_hand reserved_units arm most_worth")
-    made = Rig().gateway
+        "in_hand reserved_units arm most_worth first_latency fresh_ceiling news_ms tally_at")
+    rig = Rig()
+    rig.servers(entry(1))
+    made = rig.gateway
     assert not [name for name in names.split() if not hasattr(made, name)]
     made.pool = 6.0
     assert made.pressure.size == made.pool == 6.0  # and written where its owner keeps it
+    assert made.news_ms() == 4000.0 and made.first_latency(SETTINGS.classes[0]) == 400.0
+    assert made.fresh_ceiling(SETTINGS.plans[2], 2) == 0.0 and made.tally_at == float("-inf")
