Derive the fleet's tables in one place, also after a handover

Cause: the index of cold servers' phases and the servers owed a turn were kept beside relist: put_back and the reading of a handover's document each added to owed, due() took out what was gone, and a document's phases were written into servers without the index being made anew. Change: owed is derived by relist like ready, cold and the index; state.load calls it. A server put back by hand in the process before is thereby cold, and owed its turn, at once. Views reach two parts deep, so the gateway keeps no second names for its parts' parts; a change of settings no longer builds its table of classes twice.

--- a/brackenloft/policy/change.py
+++ b/brackenloft/policy/change.py
@@ -40,16 +40,15 @@
         others must have heard of it too: until then this gateway's share grows by nothing."""
         settings = event.settings
         plans = {item.name: item for item in settings.plans}
-        classes = {item.name: item for item in settings.classes}
-        kinds = classes | {flight.kind.name: flight.kind for flight in self.hand.flights.values()}
-        latency = self.pressure.means(kinds.values())
+        kinds = (flight.kind for flight in self.hand.flights.values())
+        latency = self.pressure.means([*settings.classes, *kinds])
         gateways = max(self.epochs.gateways, settings.gateways)
         bounds = self._bounds(plans)
         # All that may fail came before the first thing that is altered.
         self._turn(plans, gateways)
         self.context.configure(settings)
         self.pressure.latencies.keep(latency)
-        self.health.shares.keep(classes, plans, self.lists.fleet.servers.values())
+        self.health.shares.keep(self.context.classes, plans, self.lists.fleet.servers.values())
         self._keep_in_hand(bounds)
         self.lists.relist()
         if settings.gateways < gateways:
--- a/brackenloft/policy/gateway.py
+++ b/brackenloft/policy/gateway.py
@@ -29,10 +29,9 @@
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.context = context = Context(settings, seed, FADE_MS)
-        self.decay, self.fleet, self.hand = context.decay, Fleet(context.random), Hand()
+        self.fleet, self.hand = Fleet(context.random), Hand()
         self.meter, self.warming, self.health = Meter(context), Cold(context), Health(context)
         self.pressure = Pressure(context)
-        self.latencies, self.shares = self.pressure.latencies, self.health.shares
         self.ceilings = Ceilings(context, self.meter)
         self.book = Customers(context, self.meter, self.ceilings)
         self.epochs = self.book.epochs
--- a/brackenloft/state.py
+++ b/brackenloft/state.py
@@ -9,7 +9,7 @@
 from collections import OrderedDict
 from collections.abc import Mapping
 from itertools import islice
-from math import inf, isnan
+from math import isnan
 from typing import Any
 
 from brackenloft.policy.gateway import Gateway
@@ -82,10 +82,9 @@
         for field, value in row.items():
             setattr(server, field, value)
         server.started = started
-        if server.owed_at < inf:
-            gateway.fleet.owed[number] = server
     for kind, known in quick.items():
         gateway.quick[kind] = {n: gateway.servers[n] for n in known if n in gateway.servers}
+    gateway.lists.relist()
 
 
 def _number(value: Any) -> float:
--- a/brackenloft/tables/fleet.py
+++ b/brackenloft/tables/fleet.py
@@ -36,7 +36,8 @@
 
 
 class Fleet:
-    """Servers by number. ``ready`` and ``cold`` are as of the last ``relist``, in the order of the lists."""
+    """Servers by number. What is ready, cold, owed and in a group is as of the last ``relist``, in the order
+    of the lists: whoever alters a server calls it."""
 
     def __init__(self, random: Random) -> None:
         self.random = random
@@ -44,7 +45,7 @@
         self.servers: dict[int, Server] = {}
         self.ready: list[Server] = []
         self.cold: list[Server] = []
-        self.owed: dict[int, Server] = {}  # put back by hand, and to be used by a certain time
+        self.owed: list[Server] = []  # cold ones that were put back by hand and are not used yet
         self._groups: dict[Group, tuple[list[Server], dict[int, int]]] = {}
         self._phases: list[tuple[float, int]] = []  # of cold servers, with their places
 
@@ -89,13 +90,13 @@
             server.reset()
             server.started = server.back = started
             server.owed_at = owed_at
-            self.owed[number] = server
             server.ready = server.listed
 
     def relist(self, cold: Callable[[Server], bool]) -> None:
         """Note which servers are ready, and which of them are cold."""
         self.ready = [server for server in self.servers.values() if server.ready]
         self.cold = [server for server in self.ready if cold(server)]
+        self.owed = [server for server in self.cold if server.owed_at < inf]
         self._groups = {}
         self._phases = sorted((server.phase, place) for place, server in enumerate(self.cold))
 
@@ -120,9 +121,4 @@
 
     def due(self, now: float) -> Server | None:
         """A cold server that was put back by hand and must be used by now; the first of the list."""
-        if not self.owed:
-            return None
-        listed = self.servers
-        self.owed = {n: s for n, s in self.owed.items() if s.owed_at < inf and listed.get(n) is s}
-        due = {n for n, server in self.owed.items() if server.owed_at <= now}
-        return next((server for server in self.cold if due and server.ready and server.id in due), None)
+        return next((server for server in self.owed if server.ready and server.owed_at <= now), None)
--- a/tests/test_package.py
+++ b/tests/test_package.py
@@ -11,6 +11,7 @@
 
 from brackenloft import (
     Effect,
+    HandOver,
     ListKind,
     NewSettings,
     Plan,
@@ -231,3 +232,19 @@
     for row in (*again["servers"].values(), *document["servers"].values()):
         del row["started"]  # the list says it, but for one put back by hand
     assert again["servers"] == document["servers"] and again["marks"] == document["marks"]
+
+
+def test_cold_servers_taken_over_have_their_turns_at_once():
+    # their phases came with the document; in a large fleet a turn is found by an index of them
+    old, new = Rig(seed=1), Rig(seed=2)
+    names = {number: f"s-{number}" for number in range(60)}
+    for rig in (old, new):
+        rig.servers(*(entry(number, started_ms=900.0) for number in names), kind=ListKind.CACHED)
+    old.do(HandOver())
+    state.load(new.gateway, state.save(old.gateway, names), {name: number for number, name in names.items()})
+    cold, fleet = new.gateway.warming, new.gateway.fleet
+    for turn in (number / 500 for number in range(500)):
+        asked = flight(SETTINGS.classes[0], turn=turn)
+        turns = [server for server in fleet.cold if cold.in_turn(asked, server, 60)]
+        near = fleet.in_phase((1.0 - turn) % 1.0, cold.widest_turn(60))
+        assert [server for server in near if cold.in_turn(asked, server, 60)] == turns
