Read recordings in one place

Need: the player and the timing read a recording's lines each in its own way, and the timing of what is none ended in a traceback, against its docstring. Change: Recording.steps reads for both; actions are named for the file in one place; time exits with 2.

--- a/brackenloft/recording/__main__.py
+++ b/brackenloft/recording/__main__.py
@@ -50,7 +50,11 @@
 
 def _time(file: Path, tree: Path | None, rounds: int) -> int:
     if tree is None:
-        print(f"{cost.seconds(file):.3f} s of CPU")
+        try:
+            print(f"{cost.seconds(file):.3f} s of CPU")
+        except RecordingError as error:
+            print(f"{file}: {error}", file=sys.stderr)
+            return 2
         return 0
     here, there = cost.against(file, tree, rounds)
     print(f"here {here:.3f} s, there {there:.3f} s, medians of {rounds} in turn: ratio {here / there:.3f}")
--- a/brackenloft/recording/codec.py
+++ b/brackenloft/recording/codec.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
 from dataclasses import dataclass
-from typing import Any, BinaryIO, get_args
+from typing import Any, BinaryIO, NamedTuple, get_args
 
 import msgspec
 
@@ -19,6 +20,11 @@
     """What is read is no recording; the message names the line, counted from 1."""
 
 
+def named(actions: Sequence[api.Action]) -> list[list[Any]]:
+    """Actions as they are written, each with the name of its type."""
+    return [[type(action).__name__, action] for action in actions]
+
+
 class Recorder:
     """Writes gateways' events and actions to a file that is open for writing bytes."""
 
@@ -34,8 +40,8 @@
     def event(self, name: str, now_ms: float, event: api.Event, actions: Sequence[api.Action]) -> None:
         """Write one event with all that it gave rise to."""
         self.events += 1
-        rows = [[type(action).__name__, action] for action in actions]
-        self._line(msgspec.json.encode(["event", name, now_ms, type(event).__name__, event, rows]))
+        row = ["event", name, now_ms, type(event).__name__, event, named(actions)]
+        self._line(msgspec.json.encode(row))
 
     def close(self) -> None:
         """Write the end. The file stays open."""
@@ -74,41 +80,78 @@
         return self.whole and not self.difference
 
 
+class Step(NamedTuple):
+    """One recorded event, with its gateway as it stands, and the actions as they were written."""
+
+    line: int  # counted from 1
+    gateway: Gateway
+    now_ms: float
+    event: api.Event
+    recorded: list[Any]
+
+
+class Recording:
+    """A recording's events in order. ``whole`` once its end was met: a torn last line leaves it false."""
+
+    def __init__(self, lines: Iterator[bytes]) -> None:
+        self.lines, self.whole, self.events = lines, False, 0
+        self.gateways: dict[str, Gateway] = {}
+
+    def steps(self) -> Iterator[Step]:
+        """Each event. Raises RecordingError for what is no recording, or is torn before its last line."""
+        if next(self.lines, b"").rstrip(b"\n") != HEAD:
+            raise RecordingError("line 1: not the head of a recording")
+        for number, line in enumerate(self.lines, 2):
+            if not line.endswith(b"\n"):
+                return  # cut off in the middle of a line
+            with told(number):
+                step = self._read(number, msgspec.json.decode(line))
+            if step:
+                yield step
+            if self.whole:
+                return
+
+    def _read(self, number: int, row: list[Any]) -> Step | None:
+        match row:
+            case ["open", name, seed, settings]:
+                self.gateways[name] = Gateway(msgspec.convert(settings, api.Settings), seed)
+            case ["event", name, now_ms, kind, event, recorded]:
+                self.events += 1
+                made: api.Event = msgspec.convert(event, EVENTS[kind])
+                return Step(number, self.gateways[name], now_ms, made, recorded)
+            case ["end", count]:
+                if count != self.events:
+                    raise ValueError(f"{self.events} events, the end says {count}")
+                self.whole = True
+            case _:
+                raise ValueError(f"{str(row)[:80]} is no line of a recording")
+        return None
+
+
+@contextmanager
+def told(number: int) -> Iterator[None]:
+    """Whatever is wrong with a line becomes a RecordingError that names it."""
+    try:
+        yield
+    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+        raise RecordingError(f"line {number}: {type(error).__name__}: {error}") from None
+
+
 def play(lines: Iterator[bytes]) -> Played:
     """Feed a recording's events to the decisions and compare, up to the first difference.
 
-    A last line that is torn, or a missing ``end``, leaves ``whole`` false: what came before is compared all
-    the same. Raises RecordingError for what is no recording, or is torn anywhere else.
+    What is cut off is compared as far as it goes, and is not ``whole``. Raises RecordingError, as
+    ``Recording.steps``.
     """
-    played, gateways = Played(), dict[str, Gateway]()
-    if next(lines, b"").rstrip(b"\n") != HEAD:
-        raise RecordingError("line 1: not the head of a recording")
-    for number, line in enumerate(lines, 2):
-        if not line.endswith(b"\n"):
-            return played  # cut off in the middle of a line
-        try:
-            _line(played, gateways, number, msgspec.json.decode(line))
-        except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
-            raise RecordingError(f"line {number}: {type(error).__name__}: {error}") from None
-        if played.whole or played.difference:
+    played, recording = Played(), Recording(lines)
+    for step in recording.steps():
+        with told(step.line):
+            actions = step.gateway.handle(step.now_ms, step.event)
+        found = msgspec.json.decode(msgspec.json.encode(named(actions)))  # as it was written: inf is null
+        played.events, played.actions = recording.events, played.actions + len(found)
+        if found != step.recorded:
+            where = f"line {step.line}: {type(step.event).__name__} at {step.now_ms}"
+            played.difference = f"{where}: recorded {step.recorded}, now {found}"
             return played
+    played.whole = recording.whole
     return played
-
-
-def _line(played: Played, gateways: dict[str, Gateway], number: int, row: list[Any]) -> None:
-    match row:
-        case ["open", name, seed, settings]:
-            gateways[name] = Gateway(msgspec.convert(settings, api.Settings), seed)
-        case ["event", name, now_ms, kind, event, recorded]:
-            actions = gateways[name].handle(now_ms, msgspec.convert(event, EVENTS[kind]))
-            rows = [[type(action).__name__, action] for action in actions]
-            found = msgspec.json.decode(msgspec.json.encode(rows))  # as it was written: inf is null
-            played.events, played.actions = played.events + 1, played.actions + len(found)
-            if found != recorded:
-                played.difference = f"line {number}: {kind} at {now_ms}: recorded {recorded}, now {found}"
-        case ["end", count]:
-            if count != played.events:
-                raise ValueError(f"{played.events} events, the end says {count}")
-            played.whole = True
-        case _:
-            raise ValueError(f"{str(row)[:80]} is no line of a recording")
--- a/brackenloft/recording/cost.py
+++ b/brackenloft/recording/cost.py
@@ -13,11 +13,9 @@
 from statistics import median
 from typing import TypeVar
 
-import msgspec
-
 from brackenloft import Gateway
 from brackenloft import interface as api
-from brackenloft.recording.codec import EVENTS, HEAD, RecordingError
+from brackenloft.recording.codec import Recording
 from brackenloft.recording.drive import draw_settings
 
 SIZES = (10, 100, 1_000, 20_000)  # servers listed
@@ -28,20 +26,11 @@
 
 def seconds(file: Path) -> float:
     """CPU seconds of all events of a recording, without reading it. Raises RecordingError."""
-    gateways: dict[str, Gateway] = {}
-    calls: list[tuple[Gateway, float, api.Event]] = []
     with open(file, "rb") as source:
-        if next(source, b"").rstrip(b"\n") != HEAD:
-            raise RecordingError("line 1: not the head of a recording")
-        for line in source:
-            match msgspec.json.decode(line):
-                case ["open", name, seed, settings]:
-                    gateways[name] = Gateway(msgspec.convert(settings, api.Settings), seed)
-                case ["event", name, now_ms, kind, event, _]:
-                    calls.append((gateways[name], now_ms, msgspec.convert(event, EVENTS[kind])))
+        steps = list(Recording(iter(source)).steps())
     start = time.process_time()
-    for gateway, now_ms, event in calls:
-        gateway.handle(now_ms, event)
+    for step in steps:
+        step.gateway.handle(step.now_ms, step.event)
     return time.process_time() - start
 
 
--- a/tests/test_recording.py
+++ b/tests/test_recording.py
@@ -75,3 +75,6 @@
     assert command.main() == code
     out = capsys.readouterr()
     assert said in out.out + out.err
+    monkeypatch.setattr(sys, "argv", ["recording", "time", str(file)])
+    assert command.main() == (2 if code == 2 else 0)  # what can be read of it is timed
+    assert ("not the head" if code == 2 else "s of CPU") in "".join(capsys.readouterr())
