Lab: take out what nobody reads, and end the asking once

Change: they are gone; a flag of its own ends the asking; gateways are typed by the adapter's protocol.

--- a/brackenloft/lab/day.py
+++ b/brackenloft/lab/day.py
@@ -8,13 +8,13 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import replace
-from typing import Any
 
 import msgspec
 import numpy as np
 
 from brackenloft import Gateway
 from brackenloft import interface as api
+from brackenloft.adapter import Handles
 from brackenloft.lab.models import Clock, Job, Meter, Server, Store
 from brackenloft.lab.referee import Ledger, Referee, Try
 from brackenloft.lab.world import Kind, Tariff, Trouble, World
@@ -23,7 +23,7 @@
 RECONNECT = 5.0  # ms that a client takes to try the next gateway when one is dead
 PAUSE = 150.0  # ms, the mean before a client comes again where it is advised nothing
 STREAMS = ("arrivals", "work", "front", "clients", "servers", "troubles", "gateways")
-Make = Callable[[api.Settings, int], Any]  # anything with handle(now_ms, event)
+Make = Callable[[api.Settings, int], Handles]
 
 
 class Result(msgspec.Struct, frozen=True):
@@ -52,7 +52,7 @@
     """A customer over all gateways: its quota, its ceiling, its meter, and the gateways of its set."""
 
     def __init__(self, world: World, name: str, tariff: Tariff, first: int, heavy: bool) -> None:
-        self.name, self.tariff, self.first, self.heavy = name, tariff, first, heavy
+        self.name, self.tariff, self.first = name, tariff, first
         self.width = min(tariff.spread, world.gateways)
         self.quota = Store(tariff.rate, tariff.burst)
         self.fair = Store(tariff.rate, tariff.burst)  # what one gateway that saw all first tries would let in
@@ -62,13 +62,12 @@
 
 
 class Wish:
-    """A client's request with all its tries: what it is worth, its work, and why it was last refused."""
+    """A client's request with all its tries, and the work it is."""
 
-    __slots__ = ("name", "customer", "kind", "work", "at", "tries", "why")
+    __slots__ = ("name", "customer", "kind", "work", "tries")
 
-    def __init__(self, name: str, customer: Customer, kind: Kind, work: float, at: float) -> None:
-        self.name, self.customer, self.kind, self.work, self.at = name, customer, kind, work, at
-        self.tries, self.why = 0, ""
+    def __init__(self, name: str, customer: Customer, kind: Kind, work: float) -> None:
+        self.name, self.customer, self.kind, self.work, self.tries = name, customer, kind, work, 0
 
 
 class Node:
@@ -225,6 +224,7 @@
         self.parts = weights / weights.sum()
         self.slowest = max(kind.deadline for kind in world.kinds)
         self.asking = 1.0  # times as much as usual
+        self.over = False  # nobody asks any more
         self.tries: dict[str, Try] = {}  # all of the day
         self.servers = {number: self._server(number) for number in range(world.machines.count)}
         self.weights = self.draw["front"].gamma(3.0, size=world.gateways)  # how much each gateway gets
@@ -252,7 +252,7 @@
         for customer in self.customers:
             self._next(customer)
         self.clock.run(length)
-        self.asking = 0.0
+        self.over = True
         self.clock.run(length + 3.0 * self.slowest + 5000.0)
         for one in self.tries.values():
             self.referee.over(one)
@@ -268,15 +268,15 @@
 
     def _next(self, customer: Customer) -> None:
         gap = 1000.0 * float(self.draw["arrivals"].exponential(1.0 / customer.rate))
-        self.clock.after(gap / max(self.asking, 1e-9), self._wish, customer)
+        self.clock.after(gap / self.asking, self._wish, customer)
 
     def _wish(self, customer: Customer) -> None:
-        if not self.asking:
+        if self.over:
             return
         kind = self.world.kinds[int(self.draw["arrivals"].choice(len(self.parts), p=self.parts))]
         work = float(self.draw["work"].exponential(kind.work))
         self.requests += 1
-        wish = Wish(f"w{self.requests}", customer, kind, work, self.clock.now)
+        wish = Wish(f"w{self.requests}", customer, kind, work)
         if customer.fair.take(1.0, self.clock.now):  # what is asked beyond it is worth nothing to anybody
             self.ledger.wish(wish.name, kind.worth * customer.tariff.price)
         self._try(wish)
@@ -297,7 +297,7 @@
             return
         wish.tries += 1
         kind = self.classes[wish.kind.name]
-        one = Try(f"{wish.name}.{wish.tries}", node.index, kind, now, now + kind.deadline_ms, 1.0)
+        one = Try(f"{wish.name}.{wish.tries}", kind, now, now + kind.deadline_ms, 1.0)
         self.tries[one.name] = one
         node.take(one, wish, wish.tries > 1)
 
@@ -309,7 +309,7 @@
     def after_answer(self, wish: Wish, why: str, advice: float | None) -> None:
         """Refused or failed: the client comes again, or gives up."""
         come_again = self.draw["clients"].random() < self.world.again
-        if not come_again or wish.tries >= self.world.tries or not self.asking:
+        if not come_again or wish.tries >= self.world.tries or self.over:
             self.ledger.book(wish.name, why)
             return
         pause = float(self.draw["clients"].exponential(PAUSE))
--- a/brackenloft/lab/models.py
+++ b/brackenloft/lab/models.py
@@ -95,7 +95,7 @@
     def __init__(self, clock: Clock, machines: Machines, entry: api.ServerEntry, speed: float) -> None:
         self.clock, self.machines, self.entry, self.speed = clock, machines, entry, speed
         self.started = -machines.warm_up  # long ago
-        self.slow, self.failing, self.silent, self.up = 1.0, False, False, True
+        self.slow, self.failing, self.silent = 1.0, False, False
         self.running: set[Job] = set()
         self.waiting: deque[Job] = deque()
         self.served = 0
@@ -109,9 +109,7 @@
         """An attempt has come in whole."""
         if self.silent:
             return
-        if not self.up:
-            job.answer(api.Status.CONNECT_FAILED)
-        elif self.failing:
+        if self.failing:
             job.answer(api.Status.ERROR)
         elif self.entry.state is not api.ServerState.READY:
             job.answer(api.Status.FULL)
@@ -142,6 +140,6 @@
         """End with what it has, and come back cold."""
         jobs = [*self.running, *self.waiting]
         self.running, self.waiting = set(), deque()
-        self.started, self.up = self.clock.now, True
+        self.started = self.clock.now
         for job in jobs:
             job.answer(api.Status.RESET)
--- a/brackenloft/lab/referee.py
+++ b/brackenloft/lab/referee.py
@@ -18,7 +18,6 @@
     """One request as a gateway took it; ``copies`` are its attempts that may have run, or still may."""
 
     name: str
-    gateway: int
     kind: api.RequestClass
     taken: float
     deadline: float
@@ -123,13 +122,11 @@
         self.offered += amount
         self._open[name] = amount
 
-    def book(self, name: str, line: str) -> bool:
-        """Book a wish's worth, unless it was booked before; whether it was now."""
+    def book(self, name: str, line: str) -> None:
+        """Book a wish's worth, unless it was booked before or was none of the offer."""
         amount = self._open.pop(name, None)
-        if amount is None:
-            return False
-        self.lines[line] += amount
-        return True
+        if amount is not None:
+            self.lines[line] += amount
 
     def close(self) -> None:
         """What is still open at the end is given up."""
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -104,6 +104,14 @@
     assert -lost[IN_TIME] == sum(amount for line, amount in lost.items() if line != IN_TIME)
 
 
+def test_nobody_asks_after_the_end_of_the_day_though_a_burst_outlasts_it():
+    rare = Tariff("rare", customers=200, rate=0.2, burst=5.0, use=0.5, heavy=0.0)
+    day = Day(world(tariffs=(rare,), troubles=(Trouble("burst", at_s=5.0, for_s=2.0),)), 1)
+    result = day.run()
+    first = [one.taken for one in day.tries.values() if one.name.endswith(".1")]
+    assert len(first) == result.requests > 20 and max(first) <= 6000.0  # tries again may still be due
+
+
 def test_two_choices_serve_more_than_one_where_servers_are_uneven():
     made = world(machines=Machines(6, cores=1, slowest=0.3, fastest=2.0), gateways=1, kinds=(SAFE,),
                  tariffs=(Tariff("basis", customers=15, rate=20.0, burst=40.0),))
