The rig: real gateways as processes, faults between them, a referee outside

Need: no test started more than two gateways, and nothing could put a fault between two processes. Change: brackenloft/rig starts 2 to 50 gateways by the command of run, puts the lab's servers, meter and rules behind sockets, relays every connection (delay, silence, reset, cut, refusal, partition, one way), carries out a timeline of acts, writes a history and judges it from the file alone; sums of clients and history must be equal. Processes die with the rig, whatever ends it. The lab's servers run on any clock; files are read in one place.

--- a/brackenloft/lab/models.py
+++ b/brackenloft/lab/models.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from heapq import heappop, heappush
 from itertools import count
-from typing import Any
+from typing import Any, Protocol
 
 from brackenloft import interface as api
 from brackenloft.lab.world import Machines, Tariff
@@ -17,6 +17,17 @@
 Answer = Callable[[api.Status], None]
 
 
+class Ticking(Protocol):
+    """A clock that models run on: virtual in the lab, real on the rig."""
+
+    @property
+    def now(self) -> float:
+        """Milliseconds since the beginning."""
+
+    def after(self, delay: float, call: Callable[..., None], *arguments: Any) -> None:
+        """Call this after so many milliseconds."""
+
+
 class Clock:
     """Virtual time: calls in the order of their times, those of one time as they were set."""
 
@@ -92,7 +103,7 @@
     A job that was given up leaves the room, but goes on where it runs. A draining server refuses what is new.
     """
 
-    def __init__(self, clock: Clock, machines: Machines, entry: api.ServerEntry, speed: float) -> None:
+    def __init__(self, clock: Ticking, machines: Machines, entry: api.ServerEntry, speed: float) -> None:
         self.clock, self.machines, self.entry, self.speed = clock, machines, entry, speed
         self.started = -machines.warm_up  # long ago
         self.slow, self.failing, self.silent = 1.0, False, False
--- a/brackenloft/lab/world.py
+++ b/brackenloft/lab/world.py
@@ -7,7 +7,7 @@
 
 import tomllib
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated, Literal, TypeVar
 
 import msgspec
 from msgspec import Meta, Struct
@@ -130,12 +130,19 @@
 DRAIN_GRACE = 500.0  # ms after it was told that a gateway may still send to a draining server
 
 
-def load(path: Path) -> World:
-    """Read a world file. Raises WorldError with file, line or path of the fault."""
+Made = TypeVar("Made", bound=Struct)
+
+
+def read_file(path: Path, kind: type[Made]) -> Made:
+    """A TOML file as one of these. Raises WorldError with file, line or path of the fault."""
     try:
-        world = msgspec.convert(tomllib.loads(path.read_text()), World)
+        return msgspec.convert(tomllib.loads(path.read_text()), kind)
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
         raise WorldError(f"{path}: {error}") from None
+
+
+def check(world: World, path: Path) -> None:
+    """What types can't tell. Raises WorldError."""
     names = [f"kinds {kind.name}" for kind in world.kinds]
     names += [f"tariffs {plan.name}" for plan in world.tariffs]
     if len(set(names)) != len(names):
@@ -147,4 +154,10 @@
         world.settings(0)
     except ValueError as error:
         raise WorldError(f"{path}: {error}") from None
+
+
+def load(path: Path) -> World:
+    """Read a world file. Raises WorldError with file, line or path of the fault."""
+    world = read_file(path, World)
+    check(world, path)
     return world
--- /dev/null
+++ b/brackenloft/rig/__main__.py
@@ -0,0 +1,148 @@
+"""The command: ``python -m brackenloft.rig run SCENARIO.toml``; see ``--help``."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import tempfile
+from collections import Counter
+from pathlib import Path
+
+import click
+import msgspec
+from rich.console import Console
+from rich.progress import Progress
+from rich.table import Table
+
+from brackenloft.lab.world import WorldError
+from brackenloft.rig.history import read
+from brackenloft.rig.judge import Verdict, judge
+from brackenloft.rig.processes import Program
+from brackenloft.rig.rig import Rig
+from brackenloft.rig.scenario import Scenario, load
+from brackenloft.rig.timeline import Timeline
+
+KEPT, BROKEN, NO_RIG = 0, 1, 2
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class Result(msgspec.Struct, frozen=True):
+    """A play: the referee's verdict, and what the clients measured (ms from the intended moment)."""
+
+    verdict: Verdict
+    latency_ms: dict[str, float]
+    faults: list[str]  # of the play itself, sums or steps that were missed: then it counts for nothing
+    no_gateway: int
+    handshakes: int  # towards servers, all gateways
+    discovery_calls: int
+
+
+async def play(scenario: Scenario, folder: Path, seed: int, program: Program, progress: Progress) -> Result:
+    """Start everything, run the timeline under load, judge. Raises RuntimeError, OSError, TimeoutError."""
+    begun = progress.add_task("start", total=1)
+    async with Rig(scenario, folder, seed, program) as rig:
+        progress.update(begun, completed=1)
+        shown = progress.add_task("play", total=scenario.world.seconds)
+        timeline = Timeline(rig)
+        timeline.start()
+        asking = asyncio.get_running_loop().create_task(rig.clients.run())
+        try:
+            start = rig.clock.now
+            while not asking.done():
+                progress.update(shown, completed=(rig.clock.now - start) / 1000.0)
+                await asyncio.wait([asking], timeout=0.2)
+            await asking
+            await timeline.finish()
+            await rig.clients.finish()
+        finally:
+            asking.cancel()
+            await timeline.close()
+        verdict = rig.verdict()
+        latency = rig.clients.latency
+        return Result(
+            verdict, {f"{q:g}%": latency.get_value_at_percentile(q) / 1000.0 for q in QUANTILES},
+            [*rig.sums(verdict), *timeline.missed], rig.clients.no_gateway,
+            sum(link.opened for name, link in rig.links.items() if ">s-" in name), rig.discovery.calls)
+
+
+def table(result: Result, scenario: Scenario) -> Table:
+    """One row a figure."""
+    world, verdict = scenario.world, result.verdict
+    made = Table(title=f"{world.gateways} gateways, {world.machines.count} servers, {world.seconds:g} s")
+    for name in ("figure", "value"):
+        made.add_column(name, justify="left" if name == "figure" else "right")
+    rows: list[tuple[str, object]] = [("asked", verdict.asked)]
+    rows += Counter(verdict.outcomes).most_common()
+    rows += [(f"excused by a fault: {name}", n) for name, n in sorted(verdict.excused.items())]
+    rows += [(f"served within, {name}", f"{value:.1f} ms") for name, value in result.latency_ms.items()]
+    rows += [("attempts at servers", verdict.attempts), ("units beyond quotas", f"{verdict.beyond:g}"),
+             ("handshakes with servers", result.handshakes), ("calls of discovery", result.discovery_calls),
+             ("wishes that found no gateway", result.no_gateway),
+             ("the rig late by", f"{verdict.late_ms:.0f} ms")]
+    rows += [(f"broken: {rule}", n) for rule, n in sorted(verdict.broken.items())]
+    for name, value in rows:
+        made.add_row(name, str(value))
+    return made
+
+
+@click.group()
+def main() -> None:
+    """Real gateways as processes, faults between them, and a referee who sees only what was seen outside."""
+
+
+@main.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--seed", default=1, show_default=True, type=click.IntRange(0, 2**31))
+@click.option("--gateways", type=click.IntRange(1, 50), help="in place of the file's number")
+@click.option("--folder", type=click.Path(path_type=Path), help="keep history and logs in this new folder")
+@click.option("--program", type=click.Path(path_type=Path), default=".", help="a tree of this repository")
+@click.option("--json", "as_json", is_flag=True, help="the result as JSON")
+def run(
+    file: Path, seed: int, gateways: int | None, folder: Path | None, program: Path, as_json: bool,
+) -> None:
+    """Play a scenario. Exit code 0: all rules kept; 1: one was broken; 2: no rig, or not the play."""
+    console, result = Console(stderr=True), None
+    try:
+        scenario = load(file, gateways)
+        if folder and folder.exists():
+            raise RuntimeError(f"{folder}: is there already")
+        with tempfile.TemporaryDirectory(prefix="rig-") as scratch, \
+                Progress(console=console, transient=True) as progress:
+            at = folder.resolve() if folder else Path(scratch)
+            result = asyncio.run(play(scenario, at, seed, Program.of(program.resolve()), progress))
+    except KeyboardInterrupt:
+        console.print("stopped", style="red")
+    except (WorldError, OSError, RuntimeError, TimeoutError, KeyError, ValueError) as error:
+        console.print(f"no rig: {error or type(error).__name__}", style="red", markup=False)
+    if result is None:
+        sys.exit(NO_RIG)
+    report(result, scenario, as_json)
+    sys.exit(NO_RIG if result.faults else KEPT if result.verdict.kept else BROKEN)
+
+
+def report(result: Result, scenario: Scenario, as_json: bool) -> None:
+    """Print it."""
+    if as_json:
+        click.echo(msgspec.json.encode(result))
+        return
+    out = Console()
+    out.print(table(result, scenario))
+    for text in [f"broken: {told}" for told in result.verdict.told[:10]] + result.faults:
+        out.print(text, style="red", markup=False)
+
+
+@main.command(name="judge")
+@click.argument("history", type=click.Path(path_type=Path))
+def judge_file(history: Path) -> None:
+    """Judge a history that was kept. Exit codes as of ``run``."""
+    try:
+        verdict = judge(read(history))
+    except (OSError, ValueError, msgspec.MsgspecError) as error:
+        click.echo(f"no history: {error}", err=True)
+        sys.exit(NO_RIG)
+    click.echo(msgspec.json.encode(verdict))
+    sys.exit(KEPT if verdict.kept else BROKEN)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/brackenloft/rig/processes.py
@@ -0,0 +1,225 @@
+"""The gateways' processes: started by the very command of ``run``, ended by id, never outliving the rig."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import resource
+import signal
+import sys
+import tomllib
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+from msgspec import Struct
+
+from brackenloft.rig import history as seen
+from brackenloft.rig.relay import Address, Link
+from brackenloft.rig.standins import Clock
+
+# Ended by the kernel when the rig's main thread ends, however that is; not by its terminal.
+LAUNCH = ("import ctypes, os, sys; ctypes.CDLL(None).prctl(1, 9);"
+          "os.getppid() == int(sys.argv[1]) or os._exit(1);"
+          "os.execv('/bin/sh', ['sh', '-c', sys.argv[2]])")
+SPIN = ("import ctypes, os, sys; ctypes.CDLL(None).prctl(1, 9);"
+        "os.getppid() == int(sys.argv[1]) or os._exit(1);\nwhile True: pass")
+DOOR_S = 1.5  # for an answer at a door
+
+
+class Program(Struct, frozen=True):
+    """A version of the gateway: a folder and the command that runs it there."""
+
+    folder: Path
+    command: str
+
+    @classmethod
+    def of(cls, folder: Path) -> Program:
+        """By the ``run`` of a folder's deploy file; where that environment is not built, by this interpreter.
+
+        Raises OSError, KeyError or tomllib.TOMLDecodeError where there is no such file.
+        """
+        command = str(tomllib.loads((folder / "deploy" / "balancer.toml").read_text())["run"])
+        if not (folder / ".venv" / "bin" / "python").exists():
+            command = command.replace(".venv/bin/python", sys.executable)
+        return cls(folder, command)
+
+
+class Process:
+    """One process of a gateway, with a door of its own."""
+
+    def __init__(self, child: asyncio.subprocess.Process, door: Address) -> None:
+        self.child, self.door = child, door
+
+    @property
+    def pid(self) -> int:
+        """Its id."""
+        return self.child.pid
+
+    @property
+    def alive(self) -> bool:
+        """Whether it has not ended."""
+        return self.child.returncode is None
+
+    def signal(self, number: int) -> None:
+        """Nothing where it has ended."""
+        if self.alive:
+            with suppress(ProcessLookupError):
+                self.child.send_signal(number)
+
+    async def call(self, line: str) -> str:
+        """What its own door answers; empty where nothing comes."""
+        return await call(self.door, line)
+
+
+async def call(door: Address, line: str) -> str:
+    """One call at a door: the answer's line, or empty where none comes in time."""
+    writer = None
+    try:
+        async with asyncio.timeout(DOOR_S):
+            reader, writer = await asyncio.open_connection(*door)
+            writer.write(line.encode() + b"\n")
+            return (await reader.readline()).decode().strip()
+    except (OSError, TimeoutError):
+        return ""
+    finally:
+        if writer:
+            writer.close()
+
+
+class Member:
+    """A gateway: its addresses, its configuration file, the processes that are or were it."""
+
+    def __init__(self, name: str, folder: Path, document: dict[str, Any], doors: list[Address],
+                 link: Link, clock: Clock, history: seen.History, program: Program) -> None:
+        self.name, self.folder, self.document, self.doors = name, folder, document, doors
+        self.link = link  # of the operators' door, to whichever process is the newest
+        self.clock, self.history, self.program = clock, history, program
+        self.processes: list[Process] = []
+        self.started = 0
+        self.tmp = folder / "tmp"
+        self.config = folder / "config.json"
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.on_end: Callable[[Member], None] = lambda member: None
+        self.tmp.mkdir(parents=True)
+        self.write(document)
+
+    def write(self, document: dict[str, Any]) -> None:
+        """Another configuration file, whole."""
+        self.document = document
+        fresh = self.config.with_suffix(".new")
+        fresh.write_text(json.dumps(document))
+        os.replace(fresh, self.config)
+
+    @property
+    def process(self) -> Process | None:
+        """The newest process, dead or alive."""
+        return self.processes[-1] if self.processes else None
+
+    async def start(self, program: Program | None = None) -> Process:
+        """Start a process, beside one that lives if there is one."""
+        door = self.doors[self.started % len(self.doors)]
+        self.started += 1
+        program = program or self.program
+        environment = {**os.environ, "EDGE_CONFIG": str(self.config), "EDGE_NAME": self.name,
+                       "EDGE_ADMIN": f"{door[0]}:{door[1]}", "TMPDIR": str(self.tmp)}
+        with (self.folder / "log").open("ab") as sink:
+            child = await asyncio.create_subprocess_exec(
+                sys.executable, "-I", "-S", "-c", LAUNCH, str(os.getpid()), program.command,
+                cwd=program.folder, env=environment, stdin=asyncio.subprocess.DEVNULL, stdout=sink,
+                stderr=sink, start_new_session=True)
+        process = Process(child, door)
+        self.processes.append(process)
+        self.link.target = door
+        self._note(process, "started")
+        task = asyncio.get_running_loop().create_task(self._watch(process))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return process
+
+    async def _watch(self, process: Process) -> None:
+        code = await process.child.wait()
+        self._note(process, "ended", code)
+        living = [one for one in self.processes if one.alive]
+        if living:
+            self.link.target = living[-1].door
+        self.on_end(self)
+
+    def _note(self, process: Process, state: str, code: int = 0) -> None:
+        self.history.add(seen.Process(self.clock.now, self.name, process.pid, state, code))
+
+    async def ready(self, process: Process) -> bool:
+        """Wait until its door says that it can serve; false if it ends before."""
+        while process.alive:
+            if (await process.call("HEALTH")).startswith("YES"):
+                self._note(process, "ready")
+                return True
+            await asyncio.sleep(0.02)
+        return False
+
+    async def upgrade(self, program: Program | None = None) -> bool:
+        """The next process takes over, then the one before is told to end; whether it did take over."""
+        before = self.process
+        process = await self.start(program)
+        if not await self.ready(process):
+            return False
+        if before:
+            before.signal(signal.SIGTERM)
+        return True
+
+    def signal(self, number: int) -> None:
+        """To all its processes that live."""
+        for process in self.processes:
+            process.signal(number)
+
+    def limit(self, which: int, amount: int) -> None:
+        """A limit of the kernel's on each living process (RLIMIT_NOFILE, RLIMIT_AS)."""
+        for process in self.processes:
+            if process.alive:
+                resource.prlimit(process.pid, which, (amount, resource.prlimit(process.pid, which)[1]))
+
+    def log(self) -> str:
+        """What its processes have logged so far."""
+        return (self.folder / "log").read_text(errors="replace")
+
+    async def close(self) -> None:
+        """End what lives, and wait for it."""
+        self.signal(signal.SIGKILL)
+        for process in self.processes:
+            await process.child.wait()
+        await asyncio.gather(*self.tasks)
+
+
+class Neighbour:
+    """Processes that do nothing but use the core on which a gateway runs."""
+
+    def __init__(self) -> None:
+        self.children: list[asyncio.subprocess.Process] = []
+        self.pinned: list[int] = []
+
+    async def start(self, member: Member, count: int) -> None:
+        """Pin the gateway to one core, and so many others beside it."""
+        core = min(os.sched_getaffinity(0))
+        for process in member.processes:
+            if process.alive:
+                os.sched_setaffinity(process.pid, {core})
+                self.pinned.append(process.pid)
+        for _ in range(count):
+            child = await asyncio.create_subprocess_exec(
+                sys.executable, "-I", "-S", "-c", SPIN, str(os.getpid()), start_new_session=True)
+            with suppress(ProcessLookupError):
+                os.sched_setaffinity(child.pid, {core})
+            self.children.append(child)
+
+    async def close(self) -> None:
+        """End them, and let the gateway run where it likes."""
+        for child in self.children:
+            with suppress(ProcessLookupError):
+                child.kill()
+            await child.wait()
+        for pid in self.pinned:
+            with suppress(ProcessLookupError):
+                os.sched_setaffinity(pid, os.sched_getaffinity(0))
+        self.children, self.pinned = [], []
--- /dev/null
+++ b/brackenloft/rig/standins.py
@@ -0,0 +1,289 @@
+"""What gateways meet, behind loopback sockets: servers that speak RESP2, discovery over HTTP.
+
+How a server behaves is the lab's model, on a real clock; here is only the wire.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Any, cast
+
+import hiredis
+import numpy as np
+
+from brackenloft import interface as api
+from brackenloft.lab.models import Job, Meter, Server
+from brackenloft.lab.world import Tariff, World
+from brackenloft.rig import history as seen
+from brackenloft.rig.relay import Address, pair_of
+
+log = logging.getLogger(__name__)
+
+BEAT_S = 2.0  # an empty line on each watch so often
+LINES = {api.Status.ERROR: b"-ERR failed\r\n", api.Status.FULL: b"-BUSY\r\n"}
+LIFECYCLE = {api.ServerState.READY: "Ready", api.ServerState.DRAINING: "Terminating",
+             api.ServerState.GONE: "Gone"}
+
+
+class Clock:
+    """Real milliseconds since the rig's beginning, with the loop's timers; for the lab's models."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.begun = self.loop.time()
+        self.wall = time.time() * 1000.0  # Unix time of the beginning
+
+    @property
+    def now(self) -> float:
+        """Milliseconds since the beginning."""
+        return (self.loop.time() - self.begun) * 1000.0
+
+    def after(self, delay: float, call: Callable[..., None], *arguments: Any) -> None:
+        """Call this after so many milliseconds."""
+        self.loop.call_later(max(0.0, delay) / 1000.0, call, *arguments)
+
+
+class Meters:
+    """Each customer's use over all gateways: one meter, whichever server is asked."""
+
+    def __init__(self, world: World, clock: Clock) -> None:
+        self.world, self.clock = world, clock
+        self.tariffs = {plan.name: plan for plan in world.tariffs}
+        self.of: dict[str, Meter] = {}
+        self.counted: set[str] = set()  # ids: a request's first attempt takes its units
+
+    def count(self, request: str, plan: str, customer: str, units: float) -> float:
+        """The figure that the answer carries."""
+        meter = self.of.get(customer)
+        if meter is None:
+            tariff: Tariff = self.tariffs[plan]
+            meter = self.of[customer] = Meter(tariff, self.world.meter_period, self.world.meter_late)
+        if request not in self.counted:
+            self.counted.add(request)
+            meter.add(units, self.clock.now)
+        return meter.told(self.clock.now)
+
+
+class StandIn:
+    """One server: a listener, its connections, the model behind them."""
+
+    def __init__(self, name: str, model: Server, meters: Meters, history: seen.History,
+                 draw: np.random.Generator) -> None:
+        self.name, self.model, self.meters, self.history, self.draw = name, model, meters, history, draw
+        self.kinds = {kind.name: kind for kind in meters.world.kinds}
+        self.attempts: dict[str, int] = {}  # numbers given, by request
+        self.connections: set[Wire] = set()
+        self.server: asyncio.Server | None = None
+        self.mute = False  # takes all in and says nothing
+
+    async def listen(self, at: Address) -> None:
+        """Raises OSError where the address is taken."""
+        self.server = await asyncio.get_running_loop().create_server(lambda: Wire(self), *at, backlog=1024)
+
+    def take(self, words: list[bytes], wire: Wire, answer: Callable[[bytes], None]) -> Job | None:
+        """A command has come whole; None where it is none."""
+        try:
+            fields = dict(part.split("=", 1) for part in words[3].decode().split(","))
+            request, customer, kind = words[2].decode(), words[1].decode(), self.kinds[fields["c"]]
+            units, plan = float(fields["units"]), fields["t"]
+        except (IndexError, ValueError, KeyError):
+            answer(b"-SYNTAX\r\n")
+            return None
+        number = self.attempts[request] = self.attempts.get(request, 0) + 1
+        work = kind.work * float(self.draw.exponential())
+        clock, pair = self.model.clock, pair_of(wire.transport) if wire.transport else None
+        gateway = pair.link.name.partition(">")[0] if pair else ""
+        self.history.add(seen.Arrived(clock.now, request, number, self.name, gateway, work))
+        used = self.meters.count(request, plan, customer, units)
+
+        def done(status: api.Status) -> None:
+            self.history.add(seen.Left(clock.now, f"{request}@{self.name}", number, status.value))
+            if status is api.Status.RESET:
+                wire.abort()
+            elif not self.mute:
+                answer(LINES.get(status) or _good(words[2], used))
+
+        job = Job(work, done)
+        self.model.take(job)
+        return job
+
+    def close(self) -> None:
+        """At the end."""
+        if self.server:
+            self.server.close()
+        for wire in list(self.connections):
+            wire.abort()
+
+
+def _good(value: bytes, used: float) -> bytes:
+    figures = b"used=%d" % round(used)
+    return b"*3\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n$-1\r\n" % (len(value), value, len(figures), figures)
+
+
+class Wire(asyncio.Protocol):
+    """A connection to a server; answers go out in the order of the commands."""
+
+    def __init__(self, server: StandIn) -> None:
+        self.server, self.reader = server, hiredis.Reader()
+        self.transport: asyncio.Transport | None = None
+        self.slots: deque[list[bytes]] = deque()
+        self.jobs: set[Job] = set()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.server.connections.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.reader.feed(data)
+            while (words := self.reader.gets()) is not False:
+                self._take(words)
+        except hiredis.ProtocolError:
+            self.abort()
+
+    def _take(self, words: Any) -> None:
+        slot: list[bytes] = []
+        self.slots.append(slot)
+
+        def answer(line: bytes) -> None:
+            slot.append(line)
+            while self.slots and self.slots[0]:
+                self._write(self.slots.popleft()[0])
+
+        if not isinstance(words, list):
+            answer(b"-SYNTAX\r\n")
+        elif job := self.server.take(words, self, answer):
+            self.jobs.add(job)
+
+    def _write(self, line: bytes) -> None:
+        if self.transport and not self.transport.is_closing():
+            self.transport.write(line)
+
+    def abort(self) -> None:
+        """The process is gone: its connections are reset."""
+        if self.transport:
+            self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.server.connections.discard(self)
+        for job in self.jobs:
+            job.gone = True  # nobody waits: what has not begun never will
+
+
+class Discovery:
+    """Holds the list, and tells each gateway the servers' addresses as that gateway has them."""
+
+    def __init__(self, clock: Clock, history: seen.History, late_ms: float, random: np.random.Generator,
+                 addresses: Callable[[str, str], Address]) -> None:
+        self.clock, self.history, self.late_ms, self.random = clock, history, late_ms, random
+        self.addresses = addresses  # of a server, for a gateway
+        self.entries: dict[str, tuple[api.ServerEntry, float]] = {}  # by name, with the last start
+        self.generation, self.calls = 1, 0
+        self.away = 0  # faults that want it down
+        self.ahead_ms = 0.0  # of its clock
+        self.watches: set[Watch] = set()
+        self.server: asyncio.Server | None = None
+
+    async def listen(self, at: Address) -> None:
+        """Raises OSError where the address is taken."""
+        self.server = await asyncio.get_running_loop().create_server(lambda: Watch(self), *at, backlog=1024)
+        self.clock.after(1000.0 * BEAT_S, self._beat)
+
+    def set(self, name: str, entry: api.ServerEntry, started: float) -> None:
+        """A server as it is from now on; each gateway hears of it a little later, in its own time."""
+        self.entries[name] = (entry, started)
+        self.generation += 1
+        for watch in list(self.watches):
+            self.clock.after(self.late_ms * 2.0 * float(self.random.random()), watch.tell, [name])
+
+    def document(self, gateway: str, names: list[str], reset: bool) -> dict[str, Any]:
+        """A list in discovery's form."""
+        return {"generation": self.generation, "reset": reset,
+                "instances": [self._row(gateway, name) for name in names]}
+
+    def _row(self, gateway: str, name: str) -> dict[str, Any]:
+        (entry, started), (host, port) = self.entries[name], self.addresses(gateway, name)
+        return {"instanceId": name, "hostPort": f"{host}:{port}", "zone": entry.zone, "machineType": "m1",
+                "cell": entry.cell, "lifecycle": LIFECYCLE[entry.state], "weight": entry.size,
+                "startedAtMs": round(self.clock.wall + self.ahead_ms + started) if started > 0.0 else 0}
+
+    def fail(self, on: bool) -> None:
+        """Discovery goes away, or comes back."""
+        self.away = max(0, self.away + (1 if on else -1))
+        if self.away:
+            for watch in list(self.watches):
+                watch.abort()
+
+    def _beat(self) -> None:
+        for watch in list(self.watches):
+            watch.line(b"\n")
+        self.clock.after(1000.0 * BEAT_S, self._beat)
+
+    def close(self) -> None:
+        """At the end."""
+        if self.server:
+            self.server.close()
+        for watch in list(self.watches):
+            watch.abort()
+
+
+class Watch(asyncio.Protocol):
+    """A gateway's watch."""
+
+    def __init__(self, discovery: Discovery) -> None:
+        self.discovery, self.gateway, self.head = discovery, "", b""
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        self.head += data
+        if b"\r\n\r\n" not in self.head or self in self.discovery.watches or self.transport is None:
+            return
+        pair = pair_of(self.transport)
+        self.gateway = pair.link.name.partition(">")[0] if pair else ""
+        self.discovery.calls += 1
+        if self.discovery.away or not self.gateway:
+            self.transport.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+            self.transport.close()
+            return
+        self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                             b"Transfer-Encoding: chunked\r\n\r\n")
+        self.discovery.watches.add(self)
+        if b"from=%d " % self.discovery.generation not in self.head.split(b"\r\n")[0]:
+            self.tell(list(self.discovery.entries), True)
+
+    def tell(self, names: list[str], reset: bool = False) -> None:
+        """Write these servers; they count as told once the way is clear."""
+        if self not in self.discovery.watches or self.transport is None:
+            return
+        discovery = self.discovery
+        states = [(name, discovery.entries[name][0].state.value) for name in names]
+        self.line(json.dumps(discovery.document(self.gateway, names, reset)).encode() + b"\n")
+
+        def told() -> None:
+            for name, state in states:
+                discovery.history.add(seen.Told(discovery.clock.now, self.gateway, name, state))
+
+        pair = pair_of(self.transport)
+        if pair:
+            pair.when_clear(told)
+
+    def line(self, data: bytes) -> None:
+        """A chunk."""
+        if self.transport and not self.transport.is_closing():
+            self.transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def abort(self) -> None:
+        """End it."""
+        if self.transport:
+            self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.discovery.watches.discard(self)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -125,8 +125,8 @@
 class Peer:
     """A client of the gateway, or of anything that speaks RESP."""
 
-    async def open(self, port: int) -> Peer:
-        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", port)
+    async def open(self, port: int, host: str = "127.0.0.1") -> Peer:
+        self.reader, self.writer = await asyncio.open_connection(host, port)
         self.parser = hiredis.Reader(replyError=Line)
         return self
 
