A process that hangs beside another is ended, and its connections are taken back

Log: 'taken over from the process before', then nothing; the old process never looks again. At fault: handover.py waited for the link to end, which a stopped process never does; _ended accepted again though the other process might live. Ruled out: the listener (the old one keeps its copy), the relays (the same without). Change: both ends give signs of life, counted in beats of one's own, so that a machine that holds everybody up makes nobody hung; who is silent for 1.25 s is ended by its pidfd and only then followed. The old process keeps copies of connections it passed on, within its room, and takes back those of which the kernel says that nothing more was read; the others are closed. Versions that know nothing of it are met as before. Not saved: what the hung process had read.

--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -198,6 +198,7 @@
         self.grace_s = WHOLE_S
         self.moved, self.rounds = False, 0  # since the command's time began: bytes came; its further rounds
         self.unsent_bytes = self.stalled_at = 0
+        self.kept_as = 0  # the number under which the process before this one keeps a copy of it
         self.bad = 0  # commands in a row that were answered with an error
         self.asked = False  # a request has come: clients keep such connections between their requests
         self.stall: asyncio.TimerHandle | None = None
@@ -477,6 +478,7 @@
         self.unsent_bytes = 0
         self.elsewhere = 0  # connections that the process before this one still holds
         self.pass_on: Callable[[Client, int], bool] | None = None  # to the next process, if it takes over
+        self.on_closed: Callable[[Client], None] | None = None
 
     async def listen(self, host: str, port: int, passed: socket.socket | None = None) -> None:
         """Listen on this address only, or on the socket that was passed on and listens there."""
@@ -510,10 +512,10 @@
             self.server.close()
             self.server = None
 
-    async def adopt(self, sock: socket.socket, asked: bool, waited_s: float) -> None:
-        """Take a connection from the process before this one."""
+    async def adopt(self, sock: socket.socket, asked: bool, waited_s: float, kept_as: int = 0) -> None:
+        """Take a connection from the process before this one, which may keep a copy until it is told."""
         client = Client(self)
-        client.asked, client.grace_s = asked, max(0.0, WHOLE_S - waited_s)
+        client.asked, client.grace_s, client.kept_as = asked, max(0.0, WHOLE_S - waited_s), kept_as
         try:
             await self.loop.connect_accepted_socket(lambda: client, sock)
         except OSError:
@@ -600,6 +602,8 @@
     def closed(self, client: Client) -> None:
         """A connection has ended."""
         self.connections.pop(client, None)
+        if self.on_closed:
+            self.on_closed(client)
 
     def stop_listening(self) -> None:
         """Accept no more, and close each connection once nothing is owed on it."""
--- a/brackenloft/net/handover.py
+++ b/brackenloft/net/handover.py
@@ -2,10 +2,12 @@
 
 Messages are whole (SOCK_SEQPACKET): a letter and what it carries, some with a descriptor.
 
-  new to old   H who asks    T take over now
+  new to old   H who asks    T take over now ("T+": and I give signs of life)    D a kept connection is closed
   old to new   H who answers    S a piece of the state    E its end (length, checksum; the listener)
                C a client's connection    V a server's    F what is still held of a customer, or in all
-  both         O what operators want    A the other has taken that over
+  both         O what operators want    A the other has taken that over    B a sign of life
+
+Signs of life and kept connections are only between processes that know of them: versions may differ.
 """
 
 from __future__ import annotations
@@ -15,7 +17,6 @@
 import logging
 import os
 import socket
-import struct
 import zlib
 from collections import deque
 from collections.abc import Callable
@@ -25,6 +26,7 @@
 
 from brackenloft import interface as api
 from brackenloft import state
+from brackenloft.net.beside import BEAT_S, MISSED, Beats, Kept, Other, credentials
 from brackenloft.net.clients import Client, Clients
 from brackenloft.net.discovery import Discovery
 from brackenloft.net.driver import Driver
@@ -55,6 +57,8 @@
         self.loop = asyncio.get_running_loop()
         self.queue: deque[tuple[bytes, int]] = deque()  # with a descriptor, or -1
         self.open = True
+        self.other = Other(credentials(sock)[0])
+        self.heard = False  # anything, since it was looked at last
         sock.setblocking(False)
         self.loop.add_reader(sock.fileno(), self._readable)
 
@@ -100,6 +104,7 @@
                 _close_all(descriptors)
                 self.end("closed" if not data else "a message too long")
                 return
+            self.heard = True
             try:
                 self.on_message(self, data, descriptors)
             except (ValueError, KeyError, TypeError, AttributeError) as error:
@@ -147,6 +152,8 @@
         self.asked = 0  # number of the last thing shared with the other process
         self.agreed = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
+        self.beats = Beats(lambda: self.link.send(b"B") if self.link else None, self._hung)
+        self.kept, self.room = Kept(), 0  # connections passed on; how many of them may be kept
         self.token = 0  # the highest that a caller at the door has given
         driver.on_elsewhere = self._tell
 
@@ -179,7 +186,10 @@
                 self._say("H", self.who)
                 await self.answered.wait()
             async with asyncio.timeout(TAKE_S):
-                self.link.send(b"T")
+                if self.link is None:
+                    raise ConnectionError("the process before broke off")
+                self.link.heard = False
+                self.link.send(b"T+")
                 await self.whole.wait()
             if not self.loaded:
                 raise ConnectionError("the process before broke off")
@@ -190,13 +200,24 @@
         except (OSError, TimeoutError, ValueError, KeyError, TypeError, AttributeError) as error:
             log.error("nothing taken over: %r", error)
             if self.link:
-                self.link.end("nothing taken over")
+                await self._give_up(self.link, isinstance(error, TimeoutError))
             if kept and not self.driver.gateway.by_hand:
                 self._want(kept)
             return False
         finally:
             self.pieces.clear()
 
+    async def _give_up(self, link: Link, too_late: bool) -> None:
+        """A plain start. A process before that says nothing hangs: it must not wake beside this one."""
+        for _ in range(MISSED if too_late and not self.answered.is_set() else 0):
+            await asyncio.sleep(BEAT_S)  # until now it had less time than one that hangs is given
+        if too_late and not link.heard and link.other.alive():
+            log.error("the process before hangs: it is ended")
+            link.other.kill()
+            while link.other.alive():
+                await asyncio.sleep(LEFT_S)
+        link.end("nothing taken over")
+
     def _connect(self) -> bool:
         """Whether a process listens that is this user's; a path without one is left by a dead one."""
         sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
@@ -206,8 +227,7 @@
         except OSError:
             sock.close()
             return False
-        _, user, _ = struct.unpack("3i", sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, 12))
-        if user != os.getuid():
+        if credentials(sock)[1] != os.getuid():
             sock.close()
             return False
         self.link = Link(sock, self._message, self._ended)
@@ -225,6 +245,9 @@
         self._take_counts(document)
         self.loaded = True
         self.whole.set()
+        if end.get("beats"):
+            self.clients.on_closed = self._closed
+            self.beats.start()
 
     def _take_counts(self, document: dict[str, Any]) -> None:
         self.clients.elsewhere, self.servers.elsewhere = int(document["clients"]), int(document["servers"])
@@ -275,7 +298,7 @@
         """Whether the next process has taken over, and has all that was passed on."""
         return self.handed and self.link is not None and not self.link.queue
 
-    def _give(self) -> None:
+    def _give(self, beats: bool) -> None:
         """The one step: what is idle goes, what is in hand stays and is reserved, all else is told."""
         assert self.link
         self.handed = True
@@ -290,11 +313,14 @@
         for at in range(0, len(raw), PIECE):
             self.link.send(b"S" + raw[at:at + PIECE])
         listener = self.clients.listener
-        end = b"E" + json.dumps({"bytes": len(raw), "crc": zlib.crc32(raw)}).encode()
+        end = b"E" + json.dumps({"bytes": len(raw), "crc": zlib.crc32(raw), "beats": beats}).encode()
         self.link.send(end, listener.fileno() if listener else -1)
         self.servers.pass_on = self._pass_server
         self.servers.hand_over()
         self.clients.pass_on = self._pass_client
+        if beats:  # half of what is left of the room for clients, as the next process opens more
+            self.room = max(0, self.clients.most_connections - len(self.clients.connections)) // 2
+            self.beats.start()
         self._sweep()
 
     def _sweep(self) -> None:
@@ -315,7 +341,8 @@
     def _pass_client(self, client: Client, descriptor: int) -> bool:
         if not self.link or not self.link.open:
             return False
-        about = {"asked": client.asked, "waited": self.loop.time() - client.made}
+        about = {"asked": client.asked, "waited": self.loop.time() - client.made,
+                 "kept": self.kept.keep(descriptor, client.asked, self.room)}
         self.link.send(b"C" + json.dumps(about).encode(), descriptor)
         return True
 
@@ -341,11 +368,14 @@
 
     def _message(self, link: Link, data: bytes, descriptors: list[int]) -> None:
         letter, rest = data[:1], data[1:]
+        self.beats.heard()
         try:
-            if letter == b"T":
+            if letter == b"B":
+                pass
+            elif letter == b"T":
                 if not self.answered.is_set() or self.handed:
                     raise ValueError("out of turn")
-                self._give()
+                self._give(rest == b"+")
             elif letter == b"S":
                 self.pieces.append(rest)
                 if len(self.pieces) * PIECE > MOST_STATE:
@@ -359,11 +389,7 @@
 
     def _document(self, link: Link, letter: bytes, document: Any, descriptors: list[int]) -> None:
         if letter == b"H":
-            if document != self.who:
-                raise ValueError("another gateway, or another version")
-            if not self.answered.is_set() and self.offered:
-                self._say("H", self.who)
-            self.answered.set()
+            self._hello(document)
         elif letter == b"E":
             if descriptors:
                 self.listener = socket.socket(fileno=descriptors.pop())
@@ -377,9 +403,18 @@
         elif letter == b"A":
             if document == self.asked:
                 self.agreed.set()
+        elif letter == b"D":
+            self.kept.drop(int(document))
         else:
             raise ValueError(f"no such message: {letter!r}")
 
+    def _hello(self, who: Any) -> None:
+        if who != self.who:
+            raise ValueError("another gateway, or another version")
+        if not self.answered.is_set() and self.offered:
+            self._say("H", self.who)
+        self.answered.set()
+
     def _news(self, document: Any) -> None:
         if "plan" not in document:
             self._take_counts(document)
@@ -395,7 +430,8 @@
         if letter == b"C":
             about = json.loads(rest)
             self.clients.elsewhere = max(0, self.clients.elsewhere - 1)
-            coming = self.clients.adopt(sock, bool(about["asked"]), float(about["waited"]))
+            coming = self.clients.adopt(
+                sock, bool(about["asked"]), float(about["waited"]), int(about.get("kept", 0)))
         else:
             self.servers.elsewhere = max(0, self.servers.elsewhere - 1)
             coming = self.servers.adopt(self.discovery.roster.number(rest.decode()), sock)
@@ -408,24 +444,53 @@
         if link is not self.link:
             return
         self.link = None
+        self.beats.stop()
+        self.clients.on_closed = None
         self.answered.set()  # who waits for more, waits no longer
         self.whole.set()
         self.answered.clear()
         self.clients.elsewhere = self.servers.elsewhere = 0
         self.clients.pass_on, self.servers.pass_on = None, None
-        was_handed, self.handed = self.handed, False
+        if self.handed:
+            link.other.when_ended(self._back)  # the link may end before the process: not beside it
+        else:
+            self.driver.post(api.OtherGone())
+            link.other.close()
+
+    def _hung(self) -> None:
+        """No sign of life for a while: end it. Whatever it holds is given up with it, or taken back."""
+        if self.link:
+            log.error("the other process hangs: it is ended")
+            self.link.other.kill()
+            self.link.end("it hangs")
+
+    def _back(self) -> None:
+        """The next process has ended: what it had is this one's again."""
+        self.handed = False
         self.driver.post(api.OtherGone())
-        if was_handed:
-            log.error("the next process has ended: this one accepts again")
-            task = self.loop.create_task(self._again())
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+        log.error("the next process has ended: this one accepts again")
+        task = self.loop.create_task(self._again())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
 
     async def _again(self) -> None:
-        if not self.clients.leaving:
-            await self.clients.accept()
-            self.withdraw()
-            self.offer()
+        untouched = self.kept.take_back()
+        if self.clients.leaving:
+            for sock, _ in untouched:
+                sock.close()
+            return
+        for sock, asked in untouched:
+            sock.setblocking(False)
+            await self.clients.adopt(sock, asked, 0.0)
+        await self.clients.accept()
+        self.withdraw()
+        self.offer()
+
+    def _closed(self, client: Client) -> None:
+        """The process before keeps a copy of what it passed on: it must close that, too."""
+        if client.kept_as:
+            self._say("D", client.kept_as)
+            client.kept_as = 0
 
     def withdraw(self) -> None:
         """Offer no more; the path stays, as it may be the next process's by now."""
@@ -511,9 +576,12 @@
     def close(self) -> None:
         """At the end of the process."""
         self.withdraw()
+        self.beats.stop()
+        self.kept.close()
         link, self.link = self.link, None
         if link:
             link.end("this process ends")
+            link.other.close()
         listener = self.take_listener()
         if listener:
             listener.close()
