--- /dev/null
+++ b/brackenloft/rollout/__main__.py
@@ -0,0 +1,142 @@
+"""The command: ``python -m brackenloft.rollout start PLAN.toml``; see ``--help``."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import sys
+from pathlib import Path
+
+import click
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+from brackenloft.rollout import journal as told
+from brackenloft.rollout.controller import DONE, Controller, wish_path
+from brackenloft.rollout.doors import FencedError, put
+from brackenloft.rollout.plan import Plan, PlanError, load
+
+OK, WENT_BACK, NO_PLAN, HELD = 0, 1, 2, 3
+File = click.Path(path_type=Path)
+
+
+def _load(file: Path) -> Plan:
+    try:
+        return load(file)
+    except PlanError as error:
+        click.echo(str(error), err=True)
+        sys.exit(NO_PLAN)
+
+
+def _state(plan: Plan) -> told.State:
+    try:
+        return told.read(plan.path(plan.journal))
+    except FileNotFoundError:
+        return told.State()
+    except (OSError, told.JournalError) as error:
+        click.echo(str(error), err=True)
+        sys.exit(NO_PLAN)
+
+
+@click.group()
+def main() -> None:
+    """Change the settings of many gateways in stages; back by itself when a stage does worse."""
+
+
+@main.command()
+@click.argument("file", type=File)
+def start(file: Path) -> None:
+    """Begin, or go on from where the journal stands, until it is done or back.
+
+    Exit code 0: done; 1: back; 2: no plan, nothing touched; 3: another controller has it.
+    """
+    plan = _load(file)
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(message)s")
+
+    async def run() -> str:
+        journal = told.Journal(plan.path(plan.journal))
+        try:
+            return await Controller(plan, journal).run()
+        finally:
+            journal.close()
+
+    try:
+        outcome = asyncio.run(run())
+    except PlanError as error:
+        click.echo(f"refused, nothing more is touched: {error}", err=True)
+        sys.exit(NO_PLAN)
+    except (told.JournalError, FencedError) as error:
+        click.echo(f"another controller has it: {error}", err=True)
+        sys.exit(HELD)
+    except (KeyboardInterrupt, OSError) as error:
+        click.echo(f"stopped, the journal says where: {error}", err=True)
+        sys.exit(NO_PLAN)
+    click.echo(outcome)
+    sys.exit(OK if outcome == DONE else WENT_BACK)
+
+
+def _wish(word: str) -> click.Command:
+    @click.argument("file", type=File)
+    def leave(file: Path) -> None:
+        plan = _load(file)
+        state = _state(plan)
+        if state.begun is None or state.outcome:
+            click.echo(f"over: {state.outcome}" if state.outcome else "nothing is being rolled out", err=True)
+            sys.exit(NO_PLAN)
+        put(wish_path(plan), word.encode())
+        click.echo(f"{word}: left for the controller")
+
+    help_text = {"pause": "Stop where it is; what is on trial stays on trial.",
+                 "resume": "Go on after a halt; the stage is watched anew.",
+                 "back": "All that was changed goes back."}[word]
+    return click.command(word, help=help_text)(leave)
+
+
+for _word in ("pause", "resume", "back"):
+    main.add_command(_wish(_word))
+
+
+def standing(plan: Plan, state: told.State) -> dict[str, str]:
+    """Each member's standing, by name."""
+    found = {member.name: "as before" for member in plan.members}
+    found |= dict.fromkeys(state.touched, "being changed") | dict.fromkeys(state.changed, "changed")
+    for stage in (state.begun.stages if state.begun else [])[:state.stage]:
+        found |= {name: "kept" for name in stage if name in state.changed}
+    return found | {name: "back" if is_back else "given up" for name, is_back in state.back.items()}
+
+
+@main.command()
+@click.argument("file", type=File)
+@click.option("--json", "as_json", is_flag=True)
+def status(file: Path, as_json: bool) -> None:
+    """Where it stands, by member."""
+    plan = _load(file)
+    state = _state(plan)
+    word = ("not begun" if state.begun is None else state.outcome or (state.turned and "going back")
+            or (state.halted and "halted") or f"stage {state.stage}")
+    rows, why = standing(plan, state), state.halted or state.turned
+    if as_json:
+        click.echo(msgspec.json.encode({
+            "rollout": plan.name, "state": word, "why": why, "stage": state.stage, "members": rows}))
+        return
+    table = Table("member", "zone", "standing", title=f"{plan.name}: {word}{f', {why}' if why else ''}")
+    for member in plan.members:
+        table.add_row(member.name, member.zone, rows[member.name])
+    Console().print(table)
+
+
+@main.command(name="plan")
+@click.argument("file", type=File)
+def show(file: Path) -> None:
+    """The stages, without touching anything."""
+    plan = _load(file)
+    title = f"{plan.name}: {len(plan.members)} members, {plan.at_once} at once"
+    table = Table("stage", "members", title=title)
+    for number, names in enumerate(plan.staged()):
+        table.add_row(str(number), ", ".join(names))
+    Console().print(table)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/brackenloft/rollout/plan.py
@@ -0,0 +1,175 @@
+"""The plan: members, what changes, stages. TOML, read whole or refused with its fault.
+
+Times are seconds; shares are 0 to 1. Paths are taken from the plan's folder.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import re
+import tomllib
+from math import ceil
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta, Struct
+
+from brackenloft.rollout.judge import MEASURES, Measure
+
+Above = Annotated[float, Meta(gt=0)]
+Share = Annotated[float, Meta(gt=0, le=1)]
+Count = Annotated[int, Meta(ge=1, le=10_000)]
+DOOR = re.compile(r"[^\s:]+:\d{1,5}")
+MOST_MEMBERS = 10_000
+MOST_FILE = 1024 * 1024  # bytes of a member's settings: what a gateway reads
+
+
+class PlanError(Exception):
+    """The file is no plan; the message names the path in it."""
+
+
+class Member(Struct, forbid_unknown_fields=True, frozen=True):
+    """A gateway: its operators' door, its configuration file, and the one that is to take its place."""
+
+    name: str
+    door: str
+    config: str
+    zone: str = ""
+
+
+class Worse(Struct, forbid_unknown_fields=True, frozen=True):
+    """When a stage counts as worse. ``error``: the chance of a false stop over a whole rollout; ``scale``:
+    the difference in shares that is looked for first; ``tolerance``: fine is only what can't be worse by
+    more (by twice as much for the slowest tenth); ``memory_mb``: by which changed members may grow more."""
+
+    measures: Annotated[tuple[Measure, ...], Meta(min_length=1)] = MEASURES
+
+    error: Share = 0.01
+    scale: Share = 0.02
+    tolerance: Share = 0.05
+    memory_mb: Above = 32.0
+
+
+class Plan(Struct, forbid_unknown_fields=True, frozen=True):
+    """A rollout. ``settings`` names each member's new file, with ``{name}`` in it. ``stages``: how many, as
+    whole numbers or as shares of all, each counted from the beginning; or a zone after the other."""
+
+    name: str
+    journal: str
+    settings: str
+    members: Annotated[tuple[Member, ...], Meta(min_length=2, max_length=MOST_MEMBERS)]
+    stages: tuple[Annotated[int, Meta(ge=1)] | Share, ...] = (1, 0.1, 0.5, 1.0)
+    by: Literal["share", "zone"] = "share"
+    at_once: Count = 2
+    spread: Annotated[int, Meta(ge=2)] = 2  # gateways in a row that are the smallest customer's set
+    member_s: Above = 30.0
+    watch_s: Above = 20.0
+    longest_watch_s: Above = 300.0
+    least_requests: Count = 300
+    trial_s: Annotated[int, Meta(ge=10, le=3600)] = 900
+    look_s: Above = 1.0
+    worse: Worse = Worse()
+    folder: str = ""  # where the file stood
+
+    def path(self, text: str, name: str = "") -> Path:
+        """A path of the plan's."""
+        return Path(self.folder) / text.format(name=name)
+
+    def staged(self) -> list[list[str]]:
+        """Names by stage; those of a stage stand far from each other in the customers' rings."""
+        names = [member.name for member in self.members]
+        if self.by == "zone":
+            zones = list(dict.fromkeys(member.zone for member in self.members))
+            return [[m.name for m in self.members if m.zone == zone] for zone in zones]
+        order = spaced(names)
+        stages, done = [], 0
+        for stage in self.stages:
+            upto = min(len(names), stage if isinstance(stage, int) else ceil(stage * len(names)))
+            if upto > done:
+                stages.append(order[done:upto])
+                done = upto
+        return stages
+
+    def batch(self, waiting: list[str], out: set[str]) -> list[str]:
+        """Whom of a stage to change now, while others are being changed.
+
+        Never more than ``at_once``, never all of a zone that has others, never a whole set of customers: the
+        members stand in the order of their numbers, and a set is some in a row.
+        """
+        names = [member.name for member in self.members]
+        zones = {member.name: member.zone for member in self.members}
+        place = {name: number for number, name in enumerate(names)}
+        taken = set(out)
+        chosen: list[str] = []
+        for name in waiting:
+            if len(taken) >= self.at_once:
+                break
+            trial = taken | {name}
+            mates = {other for other in names if zones[other] == zones[name]}
+            whole_zone = len(mates) > 1 and mates <= trial
+            if not whole_zone and not self._whole_set(place[name], {place[one] for one in trial}):
+                taken = trial
+                chosen.append(name)
+        return chosen
+
+    def _whole_set(self, at: int, out: set[int]) -> bool:
+        """Whether some set that this place belongs to would be out altogether."""
+        count = len(self.members)
+        width = min(self.spread, count)
+        return any(all((first + n) % count in out for n in range(width))
+                   for first in range(at - width + 1, at + 1))
+
+
+def spaced(names: list[str]) -> list[str]:
+    """The same names, so that those who follow each other stand apart: 0, half, a quarter, and so on."""
+    def reverse(number: int, bits: int) -> int:
+        return int(format(number, f"0{bits}b")[::-1], 2)
+
+    bits = max(1, (len(names) - 1).bit_length())
+    places = (reverse(number, bits) for number in range(1 << bits))
+    return [names[place] for place in places if place < len(names)]
+
+
+def load(path: Path) -> Plan:
+    """Read a plan. Raises PlanError with file, line or path of the fault."""
+    try:
+        plan = msgspec.convert(tomllib.loads(path.read_text()), Plan)
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        raise PlanError(f"{path}: {error}") from None
+    plan = msgspec.structs.replace(plan, folder=str(path.resolve().parent))
+    if fault := _fault(plan):
+        raise PlanError(f"{path}: {fault}")
+    return plan
+
+
+def _fault(plan: Plan) -> str:
+    """What types can't tell; empty if nothing is wrong."""
+    for field in ("name", "door", "config"):
+        values = [getattr(member, field) for member in plan.members]
+        twice = next((value for value in values if values.count(value) > 1), None)
+        if twice is not None:
+            return f"two members have {field} {twice!r} - at `$.members`"
+    strange = next((member for member in plan.members if not DOOR.fullmatch(member.door)), None)
+    if strange:
+        return f"{strange.door!r} is no door, want host:port - at `$.members`"
+    if plan.by == "share" and plan.stages[-1:] != (1.0,) and plan.stages[-1:] != (len(plan.members),):
+        return "the last stage is not all members - at `$.stages`"
+    if plan.longest_watch_s < plan.watch_s or plan.trial_s < plan.watch_s + plan.member_s:
+        return "a trial has to outlast a member's change and its watch - at `$.trial_s`"
+    try:
+        plan.settings.format(name="x")
+    except (KeyError, IndexError, ValueError):
+        return f"{plan.settings!r}: only {{name}} may stand in it - at `$.settings`"
+    return ""
+
+
+def digest(data: bytes) -> str:
+    """As a gateway's ``CONFIG`` tells it."""
+    return hashlib.sha256(data).hexdigest()[:12]
+
+
+def fingerprint(plan: Plan) -> str:
+    """Of everything in the plan but where it stands: a journal is of one plan, and may be moved with it."""
+    unplaced = msgspec.structs.replace(plan, journal="", folder="")
+    return hashlib.sha256(msgspec.json.encode(unplaced)).hexdigest()
--- /dev/null
+++ b/tests/test_rollout.py
@@ -0,0 +1,375 @@
+"""The rollout: judge, plan and journal alone; the controller over real gateways, killed after each record."""
+
+import asyncio
+import json
+import signal
+import subprocess
+import sys
+from collections import Counter
+from pathlib import Path
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from test_rig import ROOT, SCENARIO, run
+
+from brackenloft.rig.processes import Program
+from brackenloft.rig.rig import Rig
+from brackenloft.rollout import journal as told
+from brackenloft.rollout.__main__ import standing
+from brackenloft.rollout.doors import Doors, FencedError
+from brackenloft.rollout.judge import Figures, Judge, Word, measure_before
+from brackenloft.rollout.plan import Member, Plan, PlanError, digest, load
+from brackenloft.rollout.trial import Harm, stage
+
+# ---- The judge
+
+
+def test_nothing_changed_is_seldom_blamed_and_harm_is_found():
+    def plays(harm, count):
+        return Counter(stage(seed, harm, 10, 2, 20.0, 20.0, 120.0, 0.01, 0.02, 0.05, 300).word
+                       for seed in range(count))
+
+    assert plays(Harm(), 60)[Word.WORSE] <= 2
+    for harm in (Harm(refused=0.1), Harm(slower=0.5)):
+        words = plays(harm, 15)
+        assert words[Word.WORSE] >= 12 and words[Word.FINE] == 0
+
+
+def window(**more):
+    return Figures(**{"asked": 100, "served": 100, "attempts": 100, "latency": {8: 90, 12: 10}, **more})
+
+
+@pytest.mark.parametrize("changed, others, word, why", [
+    (window(), window(), Word.FINE, "nothing worse"),
+    (window(served=70, refused=30), window(), Word.WORSE, "refused"),
+    (window(served=70, failed=30), window(), Word.WORSE, "failed"),
+    (window(late=30), window(), Word.WORSE, "late"),
+    (window(attempts=140), window(), Word.WORSE, "resent"),
+    (window(latency={8: 50, 16: 50}), window(), Word.WORSE, "slow"),
+    (window(served=70, refused=30), window(served=70, refused=30), Word.TROUBLE, "refused"),
+    (window(), window(served=70, refused=30), Word.TROUBLE, "refused"),  # the others', not the change's
+    (window(asked=1, served=1, attempts=1, latency={8: 1}), window(), Word.WAIT, "20 requests, want 200"),
+])
+def test_a_measure_is_blamed_on_the_change_only_where_others_do_not_share_it(changed, others, word, why):
+    before = {name: [window()] * 20 for name in ("a", "b", "c")}
+    judge = Judge({"a"}, measure_before({"a"}, before), 0.01, 0.02, 0.05, 200)
+    for _ in range(20):
+        for name in before:
+            judge.add(name, changed if name == "a" else others)
+    found = judge.look()
+    assert found.word is word and why in found.why
+
+
+# ---- The plan
+
+MEMBERS = st.lists(st.sampled_from("abc"), min_size=2, max_size=40)
+
+
+@given(MEMBERS, st.integers(1, 10), st.integers(2, 4), st.sampled_from(["share", "zone"]),
+       st.randoms(use_true_random=False))
+@settings(max_examples=150, deadline=None)
+def test_no_schedule_takes_more_out_at_once_than_is_stated_and_all_get_their_turn(
+        zones, at_once, spread, by, random):
+    names = [f"g{n}" for n in range(len(zones))]
+    members = tuple(Member(name, "h:1", "c", zone) for name, zone in zip(names, zones, strict=True))
+    plan = Plan("p", "j", "s", members, at_once=at_once, spread=spread, by=by)
+    stages = plan.staged()
+    assert sorted(name for one in stages for name in one) == sorted(names)
+    for waiting in map(list, stages):
+        out: set[str] = set()
+        while waiting or out:
+            chosen = plan.batch(waiting, out)
+            assert chosen or out, "nobody's turn comes"
+            waiting = [name for name in waiting if name not in chosen]
+            out |= set(chosen)
+            assert len(out) <= at_once
+            for zone in set(zones):
+                mates = {name for name, its in zip(names, zones, strict=True) if its == zone}
+                assert len(mates) == 1 or not mates <= out
+            for first in range(len(names)):
+                ring = {names[(first + n) % len(names)] for n in range(min(spread, len(names)))}
+                assert not ring <= out
+            out -= set(random.sample(sorted(out), random.randint(1, len(out))))  # some end, in any order
+
+
+PLAN = """
+name = "quota"
+journal = "j"
+settings = "new-{name}.json"
+members = [{ name = "g0", door = "h:1", config = "a" }, { name = "g1", door = "h:2", config = "b" }]
+"""
+
+
+@pytest.mark.parametrize("old, new, why", [
+    ('name = "quota"', "", "name"), ('"h:1"', '"h:2"', "two members have door 'h:2'"),
+    ('"h:1"', '"h"', "no door"), ("new-{name}", "new-{zone}", "only {name}"),
+    ('journal = "j"', 'journal = "j"\nstages = [1, 0.5]', "the last stage is not all"),
+    ('journal = "j"', 'journal = "j"\ntrial_s = 20', "has to outlast"),
+    ('journal = "j"', 'journal = "j"\nx = 1', "unknown field `x`"),
+    ('config = "b" }', 'config = "b" ', "line"),
+])
+def test_file_that_is_no_plan_is_refused_with_its_fault(tmp_path, old, new, why):
+    assert old in PLAN
+    (tmp_path / "p.toml").write_text(PLAN)
+    assert load(tmp_path / "p.toml").staged() == [["g0"], ["g1"]]
+    (tmp_path / "p.toml").write_text(PLAN.replace(old, new, 1))
+    with pytest.raises(PlanError, match="p.toml: ") as caught:
+        load(tmp_path / "p.toml")
+    assert why in str(caught.value)
+
+
+# ---- The journal
+
+def test_journal_cut_or_flipped_anywhere_is_read_up_to_its_last_whole_record(tmp_path):
+    path = tmp_path / "j"
+    journal = told.Journal(path, lambda: 5.0)
+    for name in ("g0", "g1", "g2"):
+        journal.write(told.Changing(5.0, name))
+    with pytest.raises(told.JournalError, match="another controller holds it"):
+        told.Journal(path)
+    journal.close()
+    raw = path.read_bytes()
+    ends = [0] + [end for end, _ in told.records(raw)]
+    assert len(ends) == 5 and ends[-1] == len(raw)
+    for at in range(len(raw)):
+        whole = max(n for n, end in enumerate(ends) if end <= at)
+        assert len(list(told.records(raw[:at]))) == whole
+        flipped = raw[:at] + bytes([raw[at] ^ 4]) + raw[at + 1:]
+        assert len(list(told.records(flipped))) == whole
+    path.write_bytes(raw[:-3])
+    again = told.Journal(path, lambda: 1.0)  # a clock that went back does not lower the token
+    assert again.state.touched == ["g0", "g1"] and again.state.token == 5001
+    again.write(told.Halted(1.0, "x"))
+    again.close()
+    assert told.read(path).halted == "x"
+
+
+# ---- The controller, over several processes
+
+DIES = """
+import os, sys
+from brackenloft.rollout import journal
+from brackenloft.rollout.__main__ import main
+left, write = int(sys.argv.pop(1)), journal.Journal.write
+
+def dies(self, record):
+    global left
+    write(self, record)
+    left -= 1
+    if left == 0:
+        os._exit(9)
+
+journal.Journal.write = dies
+main()
+"""
+
+
+class Fleet:
+    """Real gateways under load, and a plan that changes their quotas."""
+
+    def __init__(self, rig: Rig, folder: Path) -> None:
+        self.rig, self.folder = rig, folder
+        self.asking = asyncio.get_running_loop().create_task(rig.clients.run())
+        self.old = {name: member.config.read_bytes() for name, member in rig.members.items()}
+        self.new: dict[str, bytes] = {}
+
+    def plan(self, refill: float, name: str = "p", **more) -> Path:
+        text = ""
+        for gateway, member in self.rig.members.items():
+            document = json.loads(self.old[gateway])
+            burst = min(40.0, 100.0 * refill)
+            document["settings"]["tariffs"][0] |= {"refill": refill, "most_at_once": burst}
+            self.new[gateway] = json.dumps(document).encode()
+            (self.folder / f"new-{gateway}").write_bytes(self.new[gateway])
+            host, port = self.rig.links[f"doors>{gateway}"].at
+            text += f'\n[[members]]\nname = "{gateway}"\ndoor = "{host}:{port}"\nconfig = "{member.config}"\n'
+        fields = {"name": name, "journal": f"{name}.journal", "settings": "new-{name}", "stages": [1, 1.0],
+                  "watch_s": 0.6, "longest_watch_s": 20.0, "look_s": 0.1, "member_s": 10.0,
+                  "least_requests": 20, "trial_s": 60, "worse.scale": 0.1, "worse.tolerance": 0.3,
+                  "worse.measures": ["refused" if refill < 1.0 else "failed"], **more}
+        path = self.folder / f"{name}.toml"
+        path.write_text("".join(f"{key} = {json.dumps(value)}\n" for key, value in fields.items()) + text)
+        return path
+
+    async def control(self, plan: Path, dies_after: int = 0, call: str = "start"):
+        program = ("-c", DIES, str(dies_after)) if dies_after else ("-m", "brackenloft.rollout")
+        command = [*program, call, str(plan)]
+        with (self.folder / "controller.log").open("ab") as sink:
+            return await asyncio.create_subprocess_exec(
+                sys.executable, *command, cwd=ROOT, stdout=sink, stderr=sink)
+
+    async def to_end(self, plan: Path, dies_after: int = 0) -> int:
+        return await (await self.control(plan, dies_after)).wait()
+
+    async def seen(self, plan: Path, kind, member: str = "") -> None:
+        """Wait until the journal has such a record."""
+        def there() -> bool:
+            try:
+                history = told.read(plan.with_suffix(".journal")).history
+            except OSError:
+                return False
+            return any(isinstance(record, kind) and getattr(record, "member", member) == member
+                       for record in history)
+        await self.rig.until(there)
+
+    async def goes_by(self, files) -> bool:
+        """Whether all gateways go by these settings, and none is on trial."""
+        for name in self.rig.members:
+            text = await self.rig.door(name, "CONFIG")
+            if f"digest {digest(files[name])}" not in text or "on trial" in text:
+                return False
+        return True
+
+    def log(self) -> str:
+        return (self.folder / "controller.log").read_text()
+
+
+
+
+def fleet(tmp_path, case, gateways: int = 3, kept: bool = True) -> None:
+    async def test():
+        world = msgspec.structs.replace(SCENARIO.world, gateways=gateways, seconds=60.0)
+        scenario = msgspec.structs.replace(SCENARIO, world=world, rate=200.0)
+        async with Rig(scenario, tmp_path / "rig", program=Program.of(ROOT)) as rig:
+            made = Fleet(rig, tmp_path)
+            await rig.until(lambda: rig.clients.count["ok"] > 300)  # what it learns at first is learned
+            try:
+                await case(made)
+            except BaseException:
+                print(made.log())
+                raise
+            rig.clients.stopped = True
+            await made.asking
+            await rig.clients.finish()
+            verdict = rig.verdict()
+            assert not rig.sums(verdict) and (verdict.kept or not kept), verdict.told
+
+    run(test())
+
+
+def test_good_change_reaches_all_and_a_bad_one_goes_back_from_the_first_stage(tmp_path):
+    async def case(made: Fleet):
+        bad = made.plan(0.01, "bad")
+        assert await made.to_end(bad) == 1, made.log()
+        state = told.read(bad.with_suffix(".journal"))
+        assert state.outcome == "back" and state.touched == ["g0"] and "refused" in state.turned
+        assert await made.goes_by(made.old)
+        assert made.rig.members["g0"].config.read_bytes() == made.old["g0"]
+        good = made.plan(21.0, "good")
+        assert await made.to_end(good) == 0, made.log()
+        assert await made.goes_by(made.new)
+        plan, state = load(good), told.read(good.with_suffix(".journal"))
+        assert set(standing(plan, state).values()) == {"kept"}
+        assert await made.to_end(good) == 0  # over is over
+        assert await made.to_end(made.plan(22.0, "good")) == 2  # another plan with the same journal
+        other, config = made.plan(23.0, "other"), made.rig.members["g1"].config
+        config.write_bytes(made.old["g1"])  # by hand, and not told: begun only where all go by their files
+        assert await made.to_end(other) == 2 and "g1 is on trial, or goes by" in made.log()
+
+    fleet(tmp_path, case)
+
+
+@pytest.mark.parametrize("refill, end, files", [(21.0, 0, "new"), (0.01, 1, "old")])
+def test_controller_killed_after_each_record_is_followed_by_one_to_the_end(tmp_path, refill, end, files):
+    async def case(made: Fleet):
+        plan, lives = made.plan(refill), 0
+        while (code := await made.to_end(plan, dies_after=2)) == 9:  # its token, and one record more
+            lives += 1
+            assert lives < 40, made.log()
+        state = told.read(plan.with_suffix(".journal"))
+        assert code in (end, 9) and state.outcome == ("done" if end == 0 else "back"), made.log()
+        kinds = [type(record) for record in state.history]
+        assert lives >= len([kind for kind in kinds if kind is not told.Held]) - 1
+        assert await made.goes_by(getattr(made, files))
+
+    fleet(tmp_path, case)
+
+
+def test_controller_that_slept_past_anothers_takeover_does_nothing_when_it_wakes(tmp_path):
+    async def case(made: Fleet):
+        first = made.plan(21.0, "first", watch_s=3.0)
+        sleeper = await made.control(first)
+        await made.seen(first, told.Changed, "g0")
+        sleeper.send_signal(signal.SIGSTOP)
+        assert await made.to_end(first) == 3  # the journal is held, asleep or not
+        assert await made.to_end(made.plan(21.0, "third")) == 2  # another rollout: one is on trial
+        second = made.plan(21.0, "first", watch_s=3.0, journal="second.journal")
+        second = second.rename(second.with_name("second.toml"))
+        second.with_suffix(".journal").write_bytes(first.with_suffix(".journal").read_bytes())
+        assert await made.to_end(second) == 0, made.log()
+        before = [await made.rig.door(name, "CONFIG") for name in made.rig.members]
+        first.write_bytes(second.read_bytes())
+        sleeper.send_signal(signal.SIGCONT)
+        assert await sleeper.wait() == 3, made.log()
+        assert [await made.rig.door(name, "CONFIG") for name in made.rig.members] == before
+        doors = Doors(load(second).members, 5)
+        with pytest.raises(FencedError):
+            await doors.call("g1", "RELOAD")
+
+    fleet(tmp_path, case)
+
+
+def test_member_killed_on_trial_stops_the_rollout_and_comes_back_as_before(tmp_path):
+    async def case(made: Fleet):
+        plan, g0 = made.plan(21.0, watch_s=3.0), made.rig.members["g0"]
+        running = await made.control(plan)
+        await made.seen(plan, told.Changed, "g0")
+        g0.signal(signal.SIGKILL)
+        await g0.process.child.wait()
+        assert await g0.ready(await g0.start())
+        assert await running.wait() == 1, made.log()
+        assert "has started anew" in told.read(plan.with_suffix(".journal")).turned
+        assert await made.goes_by(made.old)
+
+    fleet(tmp_path, case, kept=False)  # the kill is not in the history
+
+
+def test_partition_of_doors_is_waited_for_and_who_went_back_by_itself_is_changed_again(tmp_path):
+    async def case(made: Fleet):
+        plan = made.plan(21.0, watch_s=1.5, stages=[2, 1.0])
+        names = load(plan).staged()[0]
+        running = await made.control(plan, dies_after=6)  # token, begun, baseline, changing or changed
+        await made.seen(plan, told.Begun)
+        made.rig.links[f"doors>{names[1]}"].silence()
+        assert await running.wait() == 9
+        running = await made.control(plan)
+        await asyncio.sleep(1.0)
+        made.rig.links[f"doors>{names[1]}"].silence(on=False)
+        await made.seen(plan, told.Changed, names[1])
+        running.kill()
+        await running.wait()
+        assert (await made.rig.door(names[0], "ROLLBACK")).startswith("YES")
+        made.rig.members[names[1]].signal(signal.SIGHUP)  # by hand, in the middle: its file says the same
+        assert await made.to_end(plan) == 0, made.log()
+        assert await made.goes_by(made.new)
+        history = told.read(plan.with_suffix(".journal")).history
+        changed = Counter(r.member for r in history if isinstance(r, told.Changed))
+        assert changed[names[0]] == 2 and "went back by itself" in made.log()
+
+    fleet(tmp_path, case)
+
+
+def test_pause_holds_resume_goes_on_and_back_gives_up_who_is_away_by_name(tmp_path):
+    async def case(made: Fleet):
+        plan = made.plan(21.0, watch_s=1.0, longest_watch_s=2.0, member_s=2.0)
+        assert subprocess.run([sys.executable, "-m", "brackenloft.rollout", "pause", plan], cwd=ROOT,
+                              capture_output=True, check=False).returncode == 2  # not begun
+        running = await made.control(plan)
+        await made.seen(plan, told.Changed, "g0")
+        assert await (await made.control(plan, call="pause")).wait() == 0
+        await made.seen(plan, told.Halted)
+        assert running.returncode is None and "on trial" in await made.rig.door("g0", "CONFIG")
+        await (await made.control(plan, call="resume")).wait()
+        await made.seen(plan, told.Resumed)
+        await made.seen(plan, told.Confirmed)
+        made.rig.links["doors>g0"].silence()
+        await (await made.control(plan, call="back")).wait()
+        assert await running.wait() == 1, made.log()
+        assert told.read(plan.with_suffix(".journal")).outcome == "back, given up: g0"
+        made.rig.links["doors>g0"].silence(on=False)
+        assert "given up" in standing(load(plan), told.read(plan.with_suffix(".journal")))["g0"]
+        assert made.rig.members["g0"].config.read_bytes() == made.old["g0"]  # its file is as before
+
+    fleet(tmp_path, case)
