--- a/tests/test_beside.py
+++ b/tests/test_beside.py
@@ -8,14 +8,13 @@
 import msgspec
 import pytest
 from fakes import Peer, call
-from test_rig import ROOT, SCENARIO, run
+from test_rig import ROOT, SCENARIO, run, through
 
 from brackenloft.net import figures
 from brackenloft.net.beside import Kept, consumed
 from brackenloft.rig.processes import Program
 from brackenloft.rig.rig import Rig
 from brackenloft.rig.scenario import Step
-from brackenloft.rig.timeline import Timeline
 
 
 def beside(tmp_path, case, seconds=4.0, steps=()):
@@ -29,18 +28,6 @@
     run(test())
 
 
-async def play(rig: Rig):
-    """Let all wishes come to something; the verdict."""
-    timeline = Timeline(rig)
-    timeline.start()
-    await rig.clients.run()
-    await timeline.finish()
-    await rig.clients.finish()
-    verdict = rig.verdict()
-    assert not rig.sums(verdict)
-    return verdict
-
-
 def test_next_process_that_hangs_is_ended_and_its_connections_are_taken_back(tmp_path):
     async def case(rig, member):
         old = member.process
@@ -103,7 +90,7 @@
 def test_busy_machine_makes_nobody_hung(tmp_path):
     """Both share one core with processes that spin: slow, and left alone."""
     async def case(rig, member):
-        verdict = await play(rig)
+        verdict = await through(rig)
         assert verdict.kept, verdict.told
         assert "hangs" not in member.log() and sum(process.alive for process in member.processes) >= 1
 
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -249,17 +249,23 @@
 
 # ---- Several processes
 
+async def through(rig: Rig):
+    """Carry out the steps under load until all wishes have come to something; the verdict."""
+    timeline = Timeline(rig)
+    timeline.start()
+    await rig.clients.run()
+    await timeline.finish()
+    await rig.clients.finish()
+    assert not timeline.missed
+    verdict = rig.verdict()
+    assert not rig.sums(verdict)
+    return verdict
+
+
 def play(tmp_path, scenario, **more):
     async def test():
         async with Rig(scenario, tmp_path / "rig", program=Program.of(ROOT), **more) as rig:
-            timeline = Timeline(rig)
-            timeline.start()
-            await rig.clients.run()
-            await timeline.finish()
-            await rig.clients.finish()
-            found = rig.verdict()
-            assert not rig.sums(found)
-            return found, rig
+            return await through(rig), rig
 
     return run(test())
 
