Tests of rollouts end their controllers, whatever becomes of the test

Need: three controllers of failed runs were left, halted, as only the gateways die with the rig. Change: each controller that a test starts is ended by its id on the way out.

--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -173,6 +173,7 @@
         self.asking = asyncio.get_running_loop().create_task(rig.clients.run())
         self.old = {name: member.config.read_bytes() for name, member in rig.members.items()}
         self.new: dict[str, bytes] = {}
+        self.controllers: list[asyncio.subprocess.Process] = []
 
     def plan(self, refill: float, name: str = "p", **more) -> Path:
         text = ""
@@ -196,8 +197,9 @@
         program = ("-c", DIES, str(dies_after)) if dies_after else ("-m", "brackenloft.rollout")
         command = [*program, call, str(plan)]
         with (self.folder / "controller.log").open("ab") as sink:
-            return await asyncio.create_subprocess_exec(
-                sys.executable, *command, cwd=ROOT, stdout=sink, stderr=sink)
+            self.controllers.append(await asyncio.create_subprocess_exec(
+                sys.executable, *command, cwd=ROOT, stdout=sink, stderr=sink))
+        return self.controllers[-1]
 
     async def to_end(self, plan: Path, dies_after: int = 0) -> int:
         return await (await self.control(plan, dies_after)).wait()
@@ -221,6 +223,13 @@
                 return False
         return True
 
+    async def end(self) -> None:
+        """No controller outlives its test, however that ends."""
+        for controller in self.controllers:
+            if controller.returncode is None:
+                controller.kill()
+            await controller.wait()
+
     def log(self) -> str:
         return (self.folder / "controller.log").read_text()
 
@@ -239,6 +248,8 @@
             except BaseException:
                 print(made.log())
                 raise
+            finally:
+                await made.end()
             rig.clients.stopped = True
             await made.asking
             await rig.clients.finish()
