Judge counts each window once; one prelude for processes that die with the rig

Need, found on reading the change again: the events of a window were counted anew for each of five measures, alone and together; requests answered were added up in two places; the same start of two launchers stood twice; a hook of the rig's members was set by nobody and called by nobody. Change: events are counted once a window; Figures.answered; BOUND; the hook is gone.

--- a/brackenloft/rig/processes.py
+++ b/brackenloft/rig/processes.py
@@ -9,7 +9,6 @@
 import signal
 import sys
 import tomllib
-from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
@@ -21,11 +20,10 @@
 from brackenloft.rig.standins import Clock
 
 # Ended by the kernel when the rig's main thread ends, however that is; not by its terminal.
-LAUNCH = ("import ctypes, os, sys; ctypes.CDLL(None).prctl(1, 9);"
-          "os.getppid() == int(sys.argv[1]) or os._exit(1);"
-          "os.execv('/bin/sh', ['sh', '-c', sys.argv[2]])")
-SPIN = ("import ctypes, os, sys; ctypes.CDLL(None).prctl(1, 9);"
-        "os.getppid() == int(sys.argv[1]) or os._exit(1);\nwhile True: pass")
+BOUND = ("import ctypes, os, sys; ctypes.CDLL(None).prctl(1, 9);"
+         "os.getppid() == int(sys.argv[1]) or os._exit(1);")
+LAUNCH = BOUND + "os.execv('/bin/sh', ['sh', '-c', sys.argv[2]])"
+SPIN = BOUND + "\nwhile True: pass"
 DOOR_S = 1.5  # for an answer at a door
 
 
@@ -102,7 +100,6 @@
         self.tmp = folder / "tmp"
         self.config = folder / "config.json"
         self.tasks: set[asyncio.Task[None]] = set()
-        self.on_end: Callable[[Member], None] = lambda member: None
         self.tmp.mkdir(parents=True)
         self.write(document)
 
@@ -145,7 +142,6 @@
         living = [one for one in self.processes if one.alive]
         if living:
             self.link.target = living[-1].door
-        self.on_end(self)
 
     def _note(self, process: Process, state: str, code: int = 0) -> None:
         self.history.add(seen.Process(self.clock.now, self.name, process.pid, state, code))
--- a/brackenloft/rollout/judge.py
+++ b/brackenloft/rollout/judge.py
@@ -59,6 +59,11 @@
     reasons: dict[str, int] = {}
     latency: dict[int, int] = {}
 
+    @property
+    def answered(self) -> int:
+        """Requests that came to something."""
+        return self.served + self.refused + self.failed
+
     def less(self, before: Figures) -> Figures:
         """What has come since: raises ValueError over two processes."""
         if before.pid != self.pid or before.since != self.since:
@@ -78,7 +83,7 @@
 
     def add(self, figures: Figures, slow_from: int) -> None:
         """Count a window of a member's."""
-        self.asked += figures.served + figures.refused + figures.failed
+        self.asked += figures.answered
         for measure, n in events(figures, slow_from).items():
             self.events[measure] += n
 
@@ -169,9 +174,10 @@
     for name, all_of in windows.items():
         for figures in all_of:
             cells[name not in changed].add(figures, slow_from)
-    spread = {measure: dispersion(windows.values(), measure, slow_from) for measure in MEASURES}
     others = [all_of for name, all_of in windows.items() if name not in changed]
-    shared = {measure: dispersion([together(others)], measure, slow_from) for measure in MEASURES}
+    single, joint = counted(windows.values(), slow_from), counted([together(others)], slow_from)
+    spread = {measure: dispersion(single, measure) for measure in MEASURES}
+    shared = {measure: dispersion(joint, measure) for measure in MEASURES}
     first, rest = cells
     return Before(slow_from, spread, shared, (first.asked, rest.asked), (first.events, rest.events))
 
@@ -226,7 +232,7 @@
             more = changed - others
             if self._enough(True, measure) and evidence(more, variance, self.worse.scale) > self.bar:
                 return Finding(Word.WORSE, f"{measure}: {more:+.4f} against the others", figures)
-            upper = most(changed - others, variance, self.worse.scale, self.bar)
+            upper = most(more, variance, self.worse.scale, self.bar)
             tolerance = self._tolerance(measure)
             if upper > tolerance:
                 doubt = doubt or f"{measure} may be {upper:+.4f}, want at most {tolerance:+.4f}"
@@ -257,13 +263,20 @@
     return sums
 
 
-def dispersion(members: Iterable[list[Figures]], measure: str, slow_from: int) -> float:
+Counted = list[list[tuple[dict[str, int], int]]]  # by member and window: events, requests answered
+
+
+def counted(members: Iterable[list[Figures]], slow_from: int) -> Counted:
+    """Each window's events, counted once for all measures."""
+    return [[(events(window, slow_from), window.answered) for window in windows] for windows in members]
+
+
+def dispersion(members: Counted, measure: str) -> float:
     """By how much windows vary more than counts of independent requests would; at least 1.
 
     Also of some windows in a row taken as one, as long as enough are left: bad seconds come in rows.
     """
-    counts = [[(events(w, slow_from)[measure], w.served + w.refused + w.failed) for w in windows]
-              for windows in members]
+    counts = [[(found[measure], answered) for found, answered in windows] for windows in members]
     longest = max(map(len, counts), default=0)
     rows = [1 << power for power in range(longest.bit_length()) if longest >> power >= LEAST_BLOCKS]
     return max([1.0, *(_dispersion([blocks(pairs, row) for pairs in counts]) for row in rows)])
