Rollouts of a program's version: beside, judged, handed back

Need: a fleet's next version was started and judged by hand, one gateway after the other, and there was no way back but to lose what the new one knew.

Change: a plan may name a program (folder and command, before and after). The next process is started beside the one before it, takes over, and is watched with its stage; the one before is kept until the stage is good, and takes back by itself if the next one dies or hangs. The way back starts the version before beside the new one and lets it take over. RETIRE at either door ends the process that was followed, and none that serves. Versions too far apart (--about) and files that the next version refuses are found before anything is touched. A call AS TOKEN at a process that starts is answered in time (it waited without end for the process to serve).

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -21,7 +21,7 @@
 from brackenloft.net.clients import Clients
 from brackenloft.net.discovery import Discovery
 from brackenloft.net.driver import Clock, Driver
-from brackenloft.net.handover import Handover
+from brackenloft.net.handover import ABOUT, Handover
 from brackenloft.net.operators import Operators
 from brackenloft.net.reload import Reload, budget
 from brackenloft.net.servers import Address, Servers
@@ -209,10 +209,13 @@
 
 
 def main(arguments: Sequence[str] = ()) -> int:
-    """Run the gateway; 0 after SIGTERM. With ``--check FILE``: only check that file."""
+    """Run the gateway; 0 after SIGTERM. ``--check FILE`` checks a file, ``--about`` tells what hands over."""
+    if list(arguments) == ["--about"]:
+        print(json.dumps(ABOUT))
+        return 0
     if arguments:
         if len(arguments) != 2 or arguments[0] != "--check":
-            print("usage: python -m brackenloft [--check FILE]", file=sys.stderr)
+            print("usage: python -m brackenloft [--check FILE | --about]", file=sys.stderr)
             return BAD_CONFIGURATION
         return _check(arguments[1])
     hang_up = HangUp()
--- a/brackenloft/net/admin.py
+++ b/brackenloft/net/admin.py
@@ -150,7 +150,11 @@
         token = words[1] if len(words) > 2 else ""
         if not (token.isascii() and token.isdecimal() and 0 < int(token) < LARGEST_TOKEN):
             return [], f"AS takes a token from 1 to {LARGEST_TOKEN - 1} and a call"
-        higher = await self.fence(int(token)) if self.fence else 0
+        try:
+            async with asyncio.timeout(ANSWER_S):  # a process that starts does not know yet who has called
+                higher = await self.fence(int(token)) if self.fence else 0
+        except TimeoutError:
+            return [], "not done in time"
         return words[2:], f"an older token: {higher} has called" if higher else ""
 
     def close(self) -> None:
--- a/brackenloft/net/beside.py
+++ b/brackenloft/net/beside.py
@@ -55,9 +55,13 @@
 
     def kill(self) -> None:
         """End it, whatever state it is in."""
+        self.signal(signal.SIGKILL)
+
+    def signal(self, number: int) -> None:
+        """A signal that can't reach a third process; nothing where it has ended."""
         if self.descriptor >= 0:
             with suppress(OSError):
-                signal.pidfd_send_signal(self.descriptor, signal.SIGKILL)
+                signal.pidfd_send_signal(self.descriptor, number)
 
     def when_ended(self, call: Callable[[], None]) -> None:
         """Call this once it has ended: at once, if it has."""
--- a/brackenloft/net/figures.py
+++ b/brackenloft/net/figures.py
@@ -12,10 +12,13 @@
 from collections import Counter
 from collections.abc import Callable
 from math import log2
+from pathlib import Path
 
 STEPS = 4  # of the scale of latencies in each doubling: a step is 19% wide
 MOST_STEP = 68  # the last step begins at 131 s; the first holds all below 1 ms
 
+PROGRAM = str(Path(__file__).parents[2])  # the folder of the version that runs
+
 
 def step(ms: float) -> int:
     """The step of the scale that a latency falls into."""
@@ -50,9 +53,10 @@
     def look(self, reasons: Counter[str], in_hand: int, revision: Callable[[], str]) -> str:
         """All of it as a JSON object on one line; memory in KiB, at the most so far."""
         return json.dumps({
-            "pid": os.getpid(), "since": round(self.since, 3), "revision": revision(), "asked": self.asked,
-            "served": self.served, "refused": self.refused, "failed": self.failed, "gone": self.gone,
-            "late": self.late, "attempts": self.attempts, "in_hand": in_hand, "reasons": dict(reasons),
+            "pid": os.getpid(), "since": round(self.since, 3), "revision": revision(),
+            "program": PROGRAM, "asked": self.asked, "served": self.served, "refused": self.refused,
+            "failed": self.failed, "gone": self.gone, "late": self.late, "attempts": self.attempts,
+            "in_hand": in_hand, "reasons": dict(reasons),
             "latency": {number: n for number, n in enumerate(self.latency) if n},
             "memory_kb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
         }, separators=(",", ":"))
--- a/brackenloft/net/handover.py
+++ b/brackenloft/net/handover.py
@@ -16,6 +16,7 @@
 import json
 import logging
 import os
+import signal
 import socket
 import zlib
 from collections import deque
@@ -35,6 +36,7 @@
 log = logging.getLogger(__name__)
 
 VERSION = 1
+ABOUT = {"handover": VERSION, "retire": True}  # what a rollout has to know before it mixes versions
 SOCKET, KEPT = "gateway.sock", "operators.json"
 LONGEST_PATH = 100  # bytes: what a Unix socket's address holds, less a margin
 PIECE = 32 * 1024  # bytes of the state in a message
@@ -257,6 +259,22 @@
         listener, self.listener = self.listener, None
         return listener
 
+    # ---- The end of the old one
+
+    def retire(self) -> str:
+        """Tell whichever of both was followed to end, as SIGTERM does; why not, or empty.
+
+        Asked of either, as the one may be of a version that does not know the call. It is the one that was
+        followed which ends, or none: whoever has taken back meanwhile serves on.
+        """
+        if self.handed:
+            os.kill(os.getpid(), signal.SIGTERM)
+            return ""
+        if self.loaded and not self.handed and self.link and self.link.other.alive():
+            self.link.other.signal(signal.SIGTERM)
+            return ""
+        return "no process beside this one has been followed"
+
     # ---- The old process
 
     def offer(self) -> None:
--- a/brackenloft/net/operators.py
+++ b/brackenloft/net/operators.py
@@ -30,7 +30,8 @@
     def calls(self) -> dict[str, Handler]:
         """By name."""
         return {"HEALTH": self.health, "OFFLINE": self.offline, "ONLINE": self.online,
-                "LEAVE": self.leave, "JOIN": self.join, "POOLS": self.pools, "FIGURES": self.figures}
+                "LEAVE": self.leave, "JOIN": self.join, "POOLS": self.pools, "FIGURES": self.figures,
+                "RETIRE": self.retire}
 
     async def health(self, _: str) -> Answer:
         """Whether this process can serve; it can while the gateway is drained, too."""
@@ -56,6 +57,13 @@
         reasons = self.gateway.tally.totals
         return True, self.driver.figures.look(reasons, len(self.driver.calls), self.revision)
 
+    async def retire(self, _: str) -> Answer:
+        """End the process that was followed, be it this one or the one beside it."""
+        why = self.handover.retire()
+        if not why:
+            log.info("the process that was followed is told to end")
+        return not why, why or "the process that was followed ends once nothing is in hand"
+
     async def pools(self, _: str) -> Answer:
         """What the connections towards servers are doing."""
         return True, self.driver.servers.look()
--- a/brackenloft/rig/processes.py
+++ b/brackenloft/rig/processes.py
@@ -115,10 +115,14 @@
         """The newest process, dead or alive."""
         return self.processes[-1] if self.processes else None
 
-    async def start(self, program: Program | None = None) -> Process:
-        """Start a process, beside one that lives if there is one."""
-        door = self.doors[self.started % len(self.doors)]
-        self.started += 1
+    def at(self, place: int) -> Process | None:
+        """The living process whose door is the one of that number."""
+        return next((one for one in self.processes if one.alive and one.door == self.doors[place]), None)
+
+    async def start(self, program: Program | None = None, place: int | None = None) -> Process:
+        """Start a process, beside one that lives if there is one; at the door of that number, or the next."""
+        door = self.doors[self.started % len(self.doors) if place is None else place]
+        self.started = self.doors.index(door) + 1
         program = program or self.program
         environment = {**os.environ, "EDGE_CONFIG": str(self.config), "EDGE_NAME": self.name,
                        "EDGE_ADMIN": f"{door[0]}:{door[1]}", "TMPDIR": str(self.tmp)}
--- a/brackenloft/rig/rig.py
+++ b/brackenloft/rig/rig.py
@@ -22,6 +22,7 @@
 from brackenloft.rig.document import settings_document
 from brackenloft.rig.judge import Verdict, judge
 from brackenloft.rig.load import Clients, Front
+from brackenloft.rig.platform import Platform
 from brackenloft.rig.processes import Member, Program, call
 from brackenloft.rig.relay import Address, Link
 from brackenloft.rig.scenario import Scenario
@@ -30,6 +31,7 @@
 READY_S = 30.0  # for all gateways to serve
 LATE_MS = 20.0  # by which the loop is late before it is written down
 LOOK_S = 0.02
+PLACES = ("doors-0", "doors-1")  # who calls at a gateway's first door and at its second, whoever is newest
 RIGS = count()  # of this process
 
 
@@ -122,10 +124,13 @@
     # ---- The gateways
 
     async def _gateways(self) -> None:
+        places: dict[str, list[Link]] = {}
         for number, name in enumerate(self.scenario.gateways()):
             listen, doors = self._port(), [self._port(), self._port()]
             await self._link(f"clients>{name}", listen)
             link = await self._link(f"doors>{name}", doors[0])
+            places[name] = [await self._link(f"{way}>{name}", door)
+                            for way, door in zip(PLACES, doors, strict=True)]
             host, port = self.links[f"{name}>discovery"].at
             document = {
                 "name": name, "listen": f"{listen[0]}:{listen[1]}", "discovery": f"{host}:{port}",
@@ -136,6 +141,8 @@
             }
             self.members[name] = Member(name, self.folder / name, document, doors, link, self.clock,
                                         self.history, self.program)
+        self.platform = Platform(self.members, places)
+        await self.platform.listen((await self._link("controller>platform", self._port())).target)
         self.front = Front({name: self.links[f"clients>{name}"] for name in self.members}, self.clock)
         self.clients = Clients(
             self.scenario, self.front.links, self.front, self.clock, self.history, self.seed)
@@ -196,6 +203,8 @@
             await self.clients.close()
         if hasattr(self, "front"):
             await self.front.close()
+        if hasattr(self, "platform"):
+            self.platform.close()
         await asyncio.gather(*(member.close() for member in self.members.values()))
         for link in self.links.values():
             link.close()
--- a/brackenloft/rig/scenario.py
+++ b/brackenloft/rig/scenario.py
@@ -66,7 +66,7 @@
     def links(self) -> list[str]:
         """Names of all connections' ways, from who connects to whom."""
         return [link for one in self.gateways() for link in (
-            f"clients>{one}", f"doors>{one}", f"{one}>discovery",
+            f"clients>{one}", f"doors>{one}", f"doors-0>{one}", f"doors-1>{one}", f"{one}>discovery",
             *(f"{one}>{server}" for server in self.servers()))]
 
     def targets(self, step: Step) -> list[str]:
--- a/brackenloft/rig/timeline.py
+++ b/brackenloft/rig/timeline.py
@@ -93,6 +93,7 @@
     def cut_by(self, groups: tuple[tuple[str, ...], ...]) -> list[Link]:
         """The links between parties of different groups; who is in none is cut off from nobody."""
         group = {name: number for number, names in enumerate(groups) for name in names}
+        group |= {f"doors-{place}": group["doors"] for place in (0, 1) if "doors" in group}
         return [link for link in self.rig.links.values()
                 if len({group[end] for end in link.name.split(">") if end in group}) == 2]
 
--- a/brackenloft/rollout/controller.py
+++ b/brackenloft/rollout/controller.py
@@ -21,12 +21,12 @@
 from pathlib import Path
 from typing import Any
 
-from brackenloft.config import read as read_config
-from brackenloft.reader import ConfigError
 from brackenloft.rollout import journal as told
-from brackenloft.rollout.doors import AwayError, Doors, FencedError, put
+from brackenloft.rollout.doors import AwayError, Doors, FencedError
 from brackenloft.rollout.judge import GROWTH, Before, Figures, Finding, Judge, Word, measure_before
-from brackenloft.rollout.plan import MOST_FILE, Plan, PlanError, digest, fingerprint
+from brackenloft.rollout.plan import Plan, PlanError, fingerprint
+from brackenloft.rollout.programs import OfProgram
+from brackenloft.rollout.ways import OfSettings, RefusedError, Way
 
 log = logging.getLogger("brackenloft.rollout")
 
@@ -41,20 +41,18 @@
     log.info("%s", json.dumps({"event": name, **facts}))
 
 
-class RefusedError(Exception):
-    """A member says no to the change itself."""
-
-
 class Controller:
     """Runs one rollout. Raises FencedError where another has followed it; PlanError, with nothing touched."""
 
     def __init__(self, plan: Plan, journal: told.Journal) -> None:
         self.plan, self.journal, self.state = plan, journal, journal.state
         self.doors = Doors(plan.members, journal.state.token)
-        self.members = {member.name: member for member in plan.members}
+        self.members = [member.name for member in plan.members]
+        kind = OfProgram if plan.program else OfSettings
+        self.way: Way = kind(plan, self.doors, journal.state)
         self.wish = wish_path(plan)
         self.last: dict[str, Figures] = {}  # as read last
-        self.memory: dict[str, int] = {}  # KiB, as a stage's watch began
+        self.first: dict[str, Figures] = {}  # as read first in a stage's watch
         self.away_since: dict[str, float] = {}
         self.renewed = 0.0
 
@@ -88,40 +86,16 @@
 
     async def _begin(self) -> None:
         """Check everything that can be checked without touching anything."""
-        before, after = {}, {}
-        for name, member in self.members.items():
-            old, new = self._file(member.config, name), self._file(self.plan.settings, name)
-            why = unfit(old, new)
-            if why:
-                raise PlanError(f"{name}: {why}")
-            before[name], after[name] = digest(old), digest(new)
         self.doors.fenced = False  # a rollout that may not begin must not stop another that runs
-        for name in self.members:
-            try:
-                force = await self.doors.force(name)
-            except AwayError as error:
-                raise PlanError(f"a door does not answer: {error}") from None
-            if force.digest != before[name] or force.on_trial:
-                raise PlanError(f"{name} is on trial, or goes by {force.digest} and not by {before[name]}")
+        before, after = await self.way.check()
         self.doors.fenced = True
         self.note(told.Begun, plan=self.plan.name, fingerprint=fingerprint(self.plan),
                   stages=self.plan.staged(), before=before, after=after)
 
-    def _file(self, text: str, name: str) -> bytes:
-        try:
-            data = self.plan.path(text, name).read_bytes()
-        except OSError as error:
-            raise PlanError(f"{name}: {error}") from None
-        if len(data) > MOST_FILE:
-            raise PlanError(f"{name}: {text}: more than {MOST_FILE} bytes")
-        return data
-
     def _same_plan(self) -> None:
         if self._begun().fingerprint != fingerprint(self.plan):
             raise PlanError(f"the journal is of another plan than this file now is ({self._begun().plan})")
-        after = self._begun().after
-        if self.state.outcome and any(
-                digest(self._file(self.plan.settings, name)) != after[name] for name in self.members):
+        if self.state.outcome and self.way.outdated():
             raise PlanError("the journal is of other new settings, and is over: name another journal")
 
     # ---- A stage
@@ -179,28 +153,13 @@
             self.note(told.Halted, why=f"can't be changed: {error}")
 
     async def _change_one(self, name: str) -> None:
-        begun, member = self._begun(), self.members[name]
-        data = self._file(self.plan.settings, name)
-        if digest(data) != begun.after[name]:
-            raise RefusedError(f"{name}: its new file has changed under way")
         if name not in self.state.touched:
             self.note(told.Changing, member=name)
-        config = self.plan.path(member.config, name)
-        if digest(config.read_bytes()) == begun.before[name]:
-            put(before_path(config), config.read_bytes())
-        put(config, data)
-
-        async def on_trial() -> None:
-            yes, text = await self.doors.call(name, f"RELOAD CONFIRM {self.plan.trial_s}")
-            if not yes and not text.startswith("not done"):
-                raise RefusedError(f"{name}: {text}")
-            force = await self.doors.force(name)
-            if force.digest != begun.after[name]:
-                raise AwayError(f"{name}: goes by {force.digest}")
-            figures = await self.doors.figures(name)
-            self.note(told.Changed, member=name, pid=figures.pid)
-
-        await self._until_back(on_trial, self.plan.member_s)
+
+        async def apply() -> None:
+            self.note(told.Changed, member=name, pid=await self.way.apply(name))
+
+        await self._until_back(apply, self.plan.member_s)
 
     async def _watch(self, stage: int, names: list[str]) -> None:
         """Read all, judge, until something can be said."""
@@ -208,16 +167,17 @@
         self.last.clear()
         self.away_since.clear()
         await self._read()
-        self.memory = {name: figures.memory_kb for name, figures in self.last.items()}
+        self.first = dict(self.last)
         loop = asyncio.get_running_loop()
         begun = loop.time()
         while self.state.judged < stage and not await self._interrupted():
             await asyncio.sleep(self.plan.look_s)
-            for name, figures in (await self._read()).items():
+            windows, settled = await self._read(), loop.time() - begun >= self.plan.settle_s
+            for name, figures in windows.items() if settled else ():
                 judge.add(name, figures)
             await self._renew(names)
-            found = self._broken(names) or judge.look()
-            self._act(stage, found, loop.time() - begun)
+            found = await self._broken(self._blamed(stage)) or judge.look()
+            self._act(stage, found, loop.time() - begun - self.plan.settle_s)
 
     def _act(self, stage: int, found: Finding, watched_s: float) -> None:
         """What a finding leads to."""
@@ -232,18 +192,33 @@
         elif watched_s >= self.plan.longest_watch_s:
             self.note(told.Halted, why=f"can't be judged: {found.why}")
 
-    def _broken(self, names: list[str]) -> Finding | None:
+    async def _broken(self, changed: set[str]) -> Finding | None:
         """What needs no figures: a changed member that died, or takes memory; one that is away for long."""
-        now = asyncio.get_running_loop().time()
-        growth = {name: figures.memory_kb - self.memory.get(name, figures.memory_kb)
+        new = {name: figures.pid for name, figures in self.last.items()
+               if figures.pid != (self.state.changed.get(name) or self.first.get(name, figures).pid)}
+        why = next((f"{name} has started anew, as process {new[name]}"
+                    for name in sorted(new.keys() & changed)), "")
+        for name in sorted(changed & self.away_since.keys()):
+            why = why or await self.way.failed(name)
+        others = sorted((new.keys() | self.away_since.keys()) - changed)
+        if why and others:  # a machine or a zone went: that is nobody's change
+            return Finding(Word.TROUBLE, f"{why}; {', '.join(others)} went, too, unchanged")
+        if why:
+            return Finding(Word.WORSE, why)
+        return self._memory(changed) or self._away(changed)
+
+    def _memory(self, changed: set[str]) -> Finding | None:
+        growth = {name: figures.memory_kb - self.first.get(name, figures).memory_kb
                   for name, figures in self.last.items()}
-        usual = max((kb for name, kb in growth.items() if name not in names), default=0)
-        for name in names:
-            figures = self.last.get(name)
-            if figures and figures.pid != self.state.changed[name]:
-                return Finding(Word.WORSE, f"{name} has started anew, as process {figures.pid}")
-            if growth.get(name, 0) - usual > 1024.0 * self.plan.worse.memory_mb:
+        usual = max((kb for name, kb in growth.items() if name not in changed), default=0)
+        for name in sorted(changed & growth.keys()):
+            if growth[name] - usual > 1024.0 * self.plan.worse.memory_mb:
                 return Finding(Word.WORSE, f"{name} takes {growth[name]} KiB more, others {usual} at most")
+        return None
+
+    def _away(self, changed: set[str]) -> Finding | None:
+        now = asyncio.get_running_loop().time()
+        for name in sorted(changed):
             if now - self.away_since.get(name, now) > self.plan.member_s:
                 return Finding(Word.TROUBLE, f"{name} can't be reached")
         return None
@@ -273,10 +248,7 @@
         if now - self.renewed < self.plan.trial_s / RENEW:
             return
         self.renewed = now
-        for name in names:
-            with suppress(AwayError):
-                if (await self.doors.force(name)).on_trial:
-                    await self.doors.call(name, f"RELOAD CONFIRM {self.plan.trial_s}")
+        await self.way.renew(names)
 
     async def _confirm(self, stage: int, names: list[str]) -> None:
         """Each keeps the change; one that has gone back by itself is changed again, and the stage watched."""
@@ -284,17 +256,15 @@
 
         async def keep(name: str) -> None:
             async def once() -> None:
-                force = await self.doors.force(name)
-                if force.digest != self._begun().after[name]:
+                if not await self.way.keep(name):
                     gone_back.append(name)
-                elif force.on_trial:
-                    yes, text = await self.doors.call(name, "CONFIRM")
-                    if not yes:
-                        raise AwayError(f"{name}: {text}")
             await self._until_back(once, self.plan.member_s)
 
         try:
             await self._paced(names, keep)
+        except RefusedError as error:
+            self.note(told.Turned, why=str(error))
+            return
         except AwayError as error:
             self.note(told.Halted, why=f"can't be told to keep it: {error}")
             return
@@ -314,26 +284,11 @@
         self.note(told.Ended, outcome=BACK + (f", given up: {', '.join(given_up)}" if given_up else ""))
 
     async def _back_one(self, name: str) -> None:
-        begun = self._begun()
         if name not in self.state.returning:
             self.note(told.Changing, member=name, back=True)
-        config = self.plan.path(self.members[name].config, name)
-        with suppress(FileNotFoundError):  # no copy: its file was not touched yet
-            kept = before_path(config).read_bytes()
-            if digest(kept) == begun.before[name] and digest(config.read_bytes()) == begun.after[name]:
-                put(config, kept)
-
-        async def as_before() -> None:
-            force = await self.doors.force(name)
-            if force.digest != begun.before[name]:
-                await self.doors.call(name, "ROLLBACK" if force.on_trial else "RELOAD")
-                force = await self.doors.force(name)
-            if force.digest != begun.before[name]:
-                raise AwayError(f"{name}: goes by {force.digest}")
-
         given_up = False
         try:
-            await self._until_back(as_before, self.plan.longest_watch_s)
+            await self._until_back(lambda: self.way.undo(name), self.plan.longest_watch_s)
         except AwayError as error:
             event("given up", member=name, why=str(error))
             given_up = True
@@ -369,9 +324,10 @@
                 await act()
                 return
             except AwayError:
-                if loop.time() + pause > end:
+                if loop.time() >= end:
                     raise
-            await asyncio.sleep(pause * (0.5 + 0.5 * random.random()))
+            drawn = pause * (0.5 + 0.5 * random.random())
+            await asyncio.sleep(max(0.0, min(drawn, end - loop.time())))  # the last try comes at the end
             pause = min(AGAIN_S[1], 2.0 * pause)
 
     # ---- What operators wish
@@ -398,23 +354,6 @@
             await asyncio.sleep(self.plan.look_s)
 
 
-def unfit(old: bytes, new: bytes) -> str:
-    """Why these settings can't follow those; empty if they can."""
-    try:
-        one, other = read_config(old, {}), read_config(new, {})
-    except ConfigError as error:
-        return "; ".join(error.faults[:3])
-    faults = other.unchangeable(one)
-    if faults:
-        return "; ".join(faults[:3])
-    return "" if other.changes(one) else "its new settings change nothing"
-
-
-def before_path(config: Path) -> Path:
-    """Where a member's settings of before are kept."""
-    return config.with_name(config.name + ".before")
-
-
 def wish_path(plan: Plan) -> Path:
     """Where other commands leave a word for the controller."""
     path = plan.path(plan.journal)
--- a/brackenloft/rollout/doors.py
+++ b/brackenloft/rollout/doors.py
@@ -35,16 +35,20 @@
 
 
 class Doors:
-    """All members' doors."""
+    """All members' doors; ``at``: of the process that each is asked at."""
 
     def __init__(self, members: tuple[Member, ...], token: int) -> None:
         self.at = {member.name: member.door for member in members}
         self.token, self.fenced = token, True  # not yet fenced: calls only look, and stop nobody
         self.calls = asyncio.Semaphore(MOST_CALLS)
 
-    async def call(self, name: str, line: str) -> tuple[bool, str]:
-        """Yes or no, and the text. Raises AwayError or FencedError: looking tells it, too."""
-        answer = await self._exchange(name, f"AS {self.token} {line}" if self.fenced else line)
+    async def call(self, name: str, line: str, door: str = "") -> tuple[bool, str]:
+        """Yes or no, and the text; at another door of the member's if one is named.
+
+        Raises AwayError or FencedError: looking tells it, too.
+        """
+        answer = await self._exchange(
+            name, door or self.at[name], f"AS {self.token} {line}" if self.fenced else line)
         yes, _, text = answer.partition(" ")
         if yes not in ("YES", "NO"):
             raise AwayError(f"{name}: no door's answer")
@@ -52,8 +56,8 @@
             raise FencedError(f"{name}: {text}")
         return yes == "YES", text
 
-    async def _exchange(self, name: str, line: str) -> str:
-        host, _, port = self.at[name].rpartition(":")
+    async def _exchange(self, name: str, door: str, line: str) -> str:
+        host, _, port = door.rpartition(":")
         writer = None
         try:
             async with self.calls, asyncio.timeout(ANSWER_S):
--- a/brackenloft/rollout/judge.py
+++ b/brackenloft/rollout/judge.py
@@ -55,6 +55,7 @@
     in_hand: int = 0
     memory_kb: int = 0
     revision: str = ""
+    program: str = ""
     since: float = 0.0
     reasons: dict[str, int] = {}
     latency: dict[int, int] = {}
--- a/brackenloft/rollout/plan.py
+++ b/brackenloft/rollout/plan.py
@@ -8,6 +8,7 @@
 import hashlib
 import re
 import tomllib
+from collections import Counter
 from math import ceil
 from pathlib import Path
 from typing import Annotated, Literal
@@ -20,6 +21,7 @@
 Count = Annotated[int, Meta(ge=1, le=10_000)]
 DOOR = re.compile(r"[^\s:]+:\d{1,5}")
 MOST_MEMBERS = 10_000
+FIELDS = ("name", "zone", "door", "token", "config", "tmp", "folder", "command")  # of start and stop
 MOST_FILE = 1024 * 1024  # bytes of a member's settings: what a gateway reads
 
 
@@ -28,22 +30,50 @@
 
 
 class Member(Struct, forbid_unknown_fields=True, frozen=True):
-    """A gateway: its operators' door, its configuration file, and the one that is to take its place."""
+    """A gateway: its operators' door, its configuration file, its zone.
+
+    For another program, too: ``next_door``, that of the process beside it (the two take turns), and
+    ``folder``, the TMPDIR that both processes share.
+    """
 
     name: str
     door: str
     config: str
     zone: str = ""
+    next_door: str = ""
+    folder: str = ""
+
+
+class Version(Struct, forbid_unknown_fields=True, frozen=True):
+    """A version of the program: its folder, and the command that runs it there; ``--check FILE`` and
+    ``--about`` are put behind it."""
+
+    folder: str
+    command: str = "exec .venv/bin/python -m brackenloft"
+
+
+class Change(Struct, forbid_unknown_fields=True, frozen=True):
+    """Another version of the program. ``start`` and ``stop``: how the platform starts a member's process with
+    a door of its own, or ends the one that has it; see ``FIELDS`` and docs/on-call.md for what they owe.
+    Empty: a process on this machine."""
+
+    before: Version
+    after: Version
+    start: tuple[str, ...] = ()
+    stop: tuple[str, ...] = ()
 
 
 class Plan(Struct, forbid_unknown_fields=True, frozen=True):
-    """A rollout. ``settings`` names each member's new file, with ``{name}`` in it. ``stages``: how many, as
-    whole numbers or as shares of all, each counted from the beginning; or a zone after the other."""
+    """A rollout, of settings or of a program. ``settings`` names each member's new file, with ``{name}`` in
+    it. ``stages``: how many, as whole numbers or as shares of all, each counted from the beginning; or a zone
+    after the other. ``settle_s``: how long a stage's watch counts nothing at first, as what has started anew
+    is slower for a while."""
 
     name: str
     journal: str
-    settings: str
     members: Annotated[tuple[Member, ...], Meta(min_length=2, max_length=MOST_MEMBERS)]
+    settings: str = ""
+    program: Change | None = None
     stages: tuple[Annotated[int, Meta(ge=1)] | Share, ...] = (1, 0.1, 0.5, 1.0)
     by: Literal["share", "zone"] = "share"
     at_once: Count = 2
@@ -54,6 +84,7 @@
     least_requests: Count = 300
     trial_s: Annotated[int, Meta(ge=10, le=3600)] = 900
     look_s: Above = 1.0
+    settle_s: Annotated[float, Meta(ge=0)] = 0.0
     worse: Worse = Worse()
     folder: str = ""  # where the file stood
 
@@ -61,6 +92,16 @@
         """A path of the plan's."""
         return Path(self.folder) / text.format(name=name)
 
+    def words(
+        self, call: tuple[str, ...], member: Member, version: Version, door: str, token: int,
+    ) -> list[str]:
+        """A command for the platform, with its fields filled in."""
+        fields = {
+            "name": member.name, "zone": member.zone, "door": door, "token": token,
+            "config": self.path(member.config, member.name), "tmp": self.path(member.folder, member.name),
+            "folder": self.path(version.folder), "command": version.command}
+        return [word.format(**fields) for word in call]
+
     def staged(self) -> list[list[str]]:
         """Names by stage; those of a stage stand far from each other in the customers' rings."""
         names = [member.name for member in self.members]
@@ -130,23 +171,45 @@
 
 def _fault(plan: Plan) -> str:
     """What types can't tell; empty if nothing is wrong."""
-    for field in ("name", "door", "config"):
-        values = [getattr(member, field) for member in plan.members]
-        twice = next((value for value in values if values.count(value) > 1), None)
+    doors = [door for member in plan.members for door in (member.door, member.next_door) if door]
+    for field, values in (("name", [member.name for member in plan.members]), ("door", doors),
+                          ("config", [member.config for member in plan.members])):
+        twice = next((value for value, n in Counter(values).items() if n > 1), None)
         if twice is not None:
             return f"two members have {field} {twice!r} - at `$.members`"
-    strange = next((member for member in plan.members if not DOOR.fullmatch(member.door)), None)
+    strange = next((door for door in doors if not DOOR.fullmatch(door)), None)
     if strange:
-        return f"{strange.door!r} is no door, want host:port - at `$.members`"
+        return f"{strange!r} is no door, want host:port - at `$.members`"
+    if bool(plan.settings) == bool(plan.program):
+        return "either settings or program, one of them - at `$`"
     if plan.by == "share" and plan.stages[-1:] != (1.0,) and plan.stages[-1:] != (len(plan.members),):
         return "the last stage is not all members - at `$.stages`"
     if plan.longest_watch_s < plan.watch_s or plan.trial_s < plan.watch_s + plan.member_s:
         return "a trial has to outlast a member's change and its watch - at `$.trial_s`"
-    try:
-        plan.settings.format(name="x")
-    except (KeyError, IndexError, ValueError):
+    if not _fills(plan.settings, ("name",)):
         return f"{plan.settings!r}: only {{name}} may stand in it - at `$.settings`"
-    return ""
+    return _fault_of_program(plan, plan.program) if plan.program else ""
+
+
+def _fills(text: str, fields: tuple[str, ...]) -> bool:
+    try:
+        text.format(**dict.fromkeys(fields, "x"))
+    except (KeyError, IndexError, ValueError, AttributeError):
+        return False
+    return True
+
+
+def _fault_of_program(plan: Plan, change: Change) -> str:
+    for member in plan.members:
+        if not member.next_door or not member.folder:
+            return f"{member.name} needs next_door and folder - at `$.members`"
+    if bool(change.start) != bool(change.stop):
+        return "start and stop go together - at `$.program`"
+    strange = next((word for word in change.start + change.stop if not _fills(word, FIELDS)), None)
+    if strange is not None:
+        names = ", ".join(FIELDS)
+        return f"{strange!r}: only {names} may stand in braces - at `$.program`"
+    return "" if change.before != change.after else "before and after are the same - at `$.program`"
 
 
 def digest(data: bytes) -> str:
--- a/brackenloft/state.py
+++ b/brackenloft/state.py
@@ -2,6 +2,9 @@
 
 Servers go by name in it, as the numbers of one process mean nothing to another. A document is read whole
 before any of it is used: one that is torn or foreign leaves the gateway as it was.
+
+Versions hand over both ways. What a later version adds stands behind or beside what was there, is passed over
+here, and must not be needed: what it means without it is what an earlier version meant.
 """
 
 from __future__ import annotations
@@ -55,7 +58,9 @@
     for plan, name, *row in document["customers"]:
         if plan in gateway.plans:
             made = Customer((str(plan), str(name)), 0.0, 0.0, gateway.epochs.epoch)
-            for field, value in zip(FIGURES, row, strict=True):
+            if len(row) < len(FIGURES):
+                raise ValueError("a customer's row that breaks off")
+            for field, value in zip(FIGURES, row, strict=False):
                 setattr(made, field, _number(value))
             made.span, made.elsewhere = max(1, int(made.width)), int(made.elsewhere)
             # The process before may have gone by other settings: no share is larger than it is here.
@@ -70,7 +75,7 @@
     quick = {kind: [numbers[name] for name in document["quick"].get(kind, ()) if name in numbers]
              for kind in gateway.quick}
     fresh = {str(name): (_number(level), _number(at))
-             for name, (level, at) in document.get("fresh", {}).items()}
+             for name, (level, at, *_) in document.get("fresh", {}).items()}
     # All of it could be read: from here on nothing fails.
     gateway.fresh = fresh
     gateway.customers, gateway.latency, gateway.marks = customers, latency, marks
@@ -94,13 +99,13 @@
 
 
 def _moment(value: Any) -> Moment:
-    at, sends = value
+    at, sends, *_ = value
     return _number(at), int(_number(sends))
 
 
 def _marks(rows: Any) -> dict[str, Mark]:
     return {str(key): (_number(bad), _number(seen), _moment(then))
-            for key, (bad, seen, then) in rows.items()}
+            for key, (bad, seen, then, *_) in rows.items()}
 
 
 def _read_server(row: Document) -> Document:
