--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -130,7 +130,8 @@
         if listing.kind is not api.ListKind.CACHED:
             clients.ready = True
 
-    discovery = Discovery(config.discovery, news, config.seed, config.settings.gateways)
+    discovery = Discovery(
+        config.discovery, news, config.seed, config.settings.gateways, config.settings.discovery)
     who = {"name": config.name, "listen": f"{config.listen[0]}:{config.listen[1]}"}
     handover = Handover(os.environ.get("TMPDIR"), who, driver, clients, servers, discovery)
     operators = Operators(driver, clients, discovery.roster, handover)
--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -22,6 +22,7 @@
 BACKOFF_S = (0.05, 2.0)  # before another watch, first and at most, of which half is drawn at random
 SHARED_S = (0.05, 0.2)  # the same for each gateway: all of them share what discovery can answer
 CONNECT_S = 1.0
+SILENT = "silent"  # why a watch ended
 LONGEST_LINE = 4 * 1024 * 1024
 STATES = {
     "Ready": api.ServerState.READY, "Terminating": api.ServerState.DRAINING, "Gone": api.ServerState.GONE,
@@ -107,7 +108,7 @@
         self.line = bytearray()
         self.transport: asyncio.Transport | None = None
         self.silent: asyncio.TimerHandle | None = None
-        self.ended = False
+        self.ended, self.why = False, ""
         self.done = asyncio.get_running_loop().create_future()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -126,10 +127,11 @@
         if self.silent:
             self.silent.cancel()
         loop = asyncio.get_running_loop()
-        self.silent = loop.call_later(SILENT_S, self._close, "silent")
+        self.silent = loop.call_later(SILENT_S, self._close, SILENT)
 
     def _close(self, why: str) -> None:
         if not self.ended:
+            self.why = why
             log.warning("the watch on discovery ended: %s", why)
         self.ended = True
         if self.transport:
@@ -181,17 +183,19 @@
 class Discovery:
     """Keeps a watch open for as long as the gateway runs."""
 
-    def __init__(self, address: Address, news: News, seed: int = 0, gateways: int = 1) -> None:
+    def __init__(self, address: Address, news: News, seed: int = 0, gateways: int = 1,
+                 mode: api.DiscoveryMode = api.DiscoveryMode.ASK) -> None:
         self.address, self.news = address, news
-        self.retell(gateways)
+        self.retell(gateways, mode)
         self.random = random.Random(seed)
         self.roster = Roster()
         self.backoff_s = self.shortest_s
         self.watch: Watch | None = None
         self.moved = asyncio.Event()  # to another address: what waits, waits no longer
 
-    def retell(self, gateways: int) -> None:
-        """So many gateways share discovery from now on."""
+    def retell(self, gateways: int, mode: api.DiscoveryMode) -> None:
+        """So many gateways share discovery from now on; or each has an agent that lists are pushed to."""
+        self.pushed = mode is api.DiscoveryMode.PUSH
         self.shortest_s, self.longest_s = map(max, BACKOFF_S, (gateways * share for share in SHARED_S))
 
     def move(self, address: Address) -> None:
@@ -236,18 +240,25 @@
                 self.watch.end("replaced")
             except (OSError, TimeoutError) as error:
                 log.warning("discovery can't be reached: %r", error)
+            silent = self.watch is not None and self.watch.why == SILENT
             self.watch = None
             with suppress(TimeoutError):
-                await asyncio.wait_for(self.moved.wait(), self.pause_s())
+                await asyncio.wait_for(self.moved.wait(), self.pause_s(silent))
                 continue
             self.backoff_s = min(self.longest_s, self.backoff_s * 2.0)
 
-    def pause_s(self) -> float:
+    def pause_s(self, silent: bool = False) -> float:
         """Before another watch.
 
+        One that fell silent has lasted for a while. Where lists are pushed, what the machine's agent has
+        counts as told whether or not a watch is open, and it says nothing while discovery is down: a watch has
+        to be open as it speaks again, and costs nobody else anything.
+
         Guards against gateways that lost theirs at once and come back at once, and against a discovery
         that is kept overbooked by their calls alone: the more gateways, the rarer each one's.
         """
+        if silent and self.pushed:
+            return BACKOFF_S[0]
         return self.backoff_s * (1.0 - 0.5 * self.random.random())
 
     def _watch(self) -> Watch:
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -6,16 +6,16 @@
 import pytest
 from fakes import FakeDiscovery, chunk, listing, row, run
 
-from brackenloft import ListKind, ServerState
+from brackenloft import DiscoveryMode, ListKind, ServerState
 from brackenloft.net import discovery as module
 from brackenloft.net.discovery import Discovery
 
 
 @asynccontextmanager
-async def watched():
+async def watched(*of_fleet):
     """A running watch, the fake it watches, and the news that came of it."""
     fake, news = await FakeDiscovery().start(), asyncio.Queue()
-    discovery = Discovery(("127.0.0.1", fake.port), lambda *told: news.put_nowait(told))
+    discovery = Discovery(("127.0.0.1", fake.port), lambda *told: news.put_nowait(told), *of_fleet)
     task = asyncio.get_running_loop().create_task(discovery.run())
     try:
         yield discovery, fake, news
@@ -128,6 +128,23 @@
     run(test())
 
 
+def test_agent_that_falls_silent_is_watched_on_at_once_however_many_gateways_there_are(monkeypatch):
+    monkeypatch.setattr(module, "SILENT_S", 0.05)
+    monkeypatch.setattr(module, "SHARED_S", (1000.0, 1000.0))
+
+    async def test():
+        async with watched(1, 200, DiscoveryMode.PUSH) as (_, fake, news):
+            for _ in range(3):  # discovery is down for longer than a watch lasts
+                target, watch = await fake.watch()
+            watch.write(chunk(listing(5, row("s-1", 1, "Terminating"), reset=True)))
+            told, _ = await news.get()
+            assert told.entries[0].state is ServerState.DRAINING
+        shared = Discovery(("127.0.0.1", 1), lambda *_: None, 1, 200, DiscoveryMode.ASK)
+        assert shared.pause_s(silent=True) >= 500.0  # a storm of calls would keep a shared one down
+
+    run(test())
+
+
 @pytest.mark.parametrize("reachable", [True, False])
 def test_discovery_that_moves_is_watched_at_its_new_address_at_once(monkeypatch, reachable):
     monkeypatch.setattr(module, "BACKOFF_S", (1000.0, 1000.0))
