--- a/brackenloft/rig/rollouts.py
+++ b/brackenloft/rig/rollouts.py
@@ -27,6 +27,7 @@
 
 CONTROLLER = ("-m", "brackenloft.rollout")
 LAUNCH = BOUND + "os.execv(sys.executable, [sys.executable, *sys.argv[2:]])"
+LONGEST_LINE = 300  # characters of it that are told on
 ROOT = Path(__file__).parents[2]
 Fields = dict[str, Any]
 
@@ -137,6 +138,10 @@
         for child in self.controllers:
             await child.wait()
 
+    def last_line(self) -> str:
+        """What a controller has said last."""
+        return (self.log().strip().split("\n") or [""])[-1][:LONGEST_LINE]
+
     def log(self) -> str:
         """What all controllers have said."""
         path = self.folder / "controller.log"
--- a/brackenloft/rig/timeline.py
+++ b/brackenloft/rig/timeline.py
@@ -55,8 +55,11 @@
         self.missed = [f"step {number}, {self.scenario.steps[number].do}, never came about: "
                        f"{self.scenario.steps[number].when or 'too late'}" for number in sorted(self.waiting)]
         results = await asyncio.gather(*self.tasks, return_exceptions=True)
-        self.missed += [f"rollout {name} has not ended: {self.rollouts.state(name).halted or 'under way'}"
-                        for name in self.controllers if not self.rollouts.state(name).outcome]
+        for name in self.controllers:
+            state = self.rollouts.state(name)
+            if not state.outcome:
+                self.missed.append(
+                    f"rollout {name} has not ended: {state.halted or self.rollouts.last_line()}")
         for result in results:
             if isinstance(result, Exception):
                 raise result
--- a/brackenloft/rollout/controller.py
+++ b/brackenloft/rollout/controller.py
@@ -87,7 +87,10 @@
     async def _begin(self) -> None:
         """Check everything that can be checked without touching anything."""
         self.doors.fenced = False  # a rollout that may not begin must not stop another that runs
-        before, after = await self.way.check()
+        try:
+            before, after = await self.way.check()
+        except* PlanError as faults:
+            raise faults.exceptions[0] from None
         self.doors.fenced = True
         self.note(told.Begun, plan=self.plan.name, fingerprint=fingerprint(self.plan),
                   stages=self.plan.staged(), before=before, after=after)
--- a/brackenloft/rollout/programs.py
+++ b/brackenloft/rollout/programs.py
@@ -34,6 +34,7 @@
 PLATFORM_S = 30.0  # for the platform to start or to stop a process
 LONGEST_WORD = 300  # characters of what it says that are told on
 FIRST = {"handover": 1, "retire": False}  # of versions that do not know --about
+CHECKS = 8  # members that are looked at together at the beginning: each runs the next version once
 PATIENCE = 0.7  # of a member's time for a next process that is there and does not serve
 
 
@@ -60,22 +61,29 @@
 
     async def check(self) -> tuple[dict[str, str], dict[str, str]]:
         await self._check_versions()
-        before, after = {}, {}
-        for name, member in self.members.items():
-            stands = {door: await self.stand(name, door) for door in (member.door, member.next_door)}
-            serving = [door for door, stand in stands.items() if stand is Stand.SERVES]
-            others = [stand for stand in stands.values() if stand is not Stand.SERVES]
-            if len(serving) != 1 or others != [Stand.SILENT]:
-                told = ", ".join(f"{door} {stand.value}" for door, stand in stands.items())
-                raise PlanError(f"{name}: want one process that serves and no other: {told}")
-            before[name] = self.doors.at[name] = serving[0]
-            after[name] = member.next_door if serving[0] == member.door else member.door
-            await self.steady(name)
-            await self._check_member(name)
-        return before, after
-
-    async def _check_member(self, name: str) -> None:
-        """That it is run by the version before, and the next one takes its configuration."""
+        places = asyncio.Semaphore(CHECKS)
+
+        async def look(name: str) -> tuple[str, str]:
+            async with places:
+                return await self._check_member(name)
+
+        async with asyncio.TaskGroup() as group:
+            looks = {name: group.create_task(look(name)) for name in self.members}
+        doors = {name: task.result() for name, task in looks.items()}
+        return {name: here for name, (here, _) in doors.items()}, {
+            name: there for name, (_, there) in doors.items()}
+
+    async def _check_member(self, name: str) -> tuple[str, str]:
+        """That one process of the version before serves, and the next one takes its file; both doors."""
+        member = self.members[name]
+        stands = {door: await self.stand(name, door) for door in (member.door, member.next_door)}
+        serving = [door for door, stand in stands.items() if stand is Stand.SERVES]
+        others = [stand for stand in stands.values() if stand is not Stand.SERVES]
+        if len(serving) != 1 or others != [Stand.SILENT]:
+            told = ", ".join(f"{door} {stand.value}" for door, stand in stands.items())
+            raise PlanError(f"{name}: want one process that serves and no other: {told}")
+        self.doors.at[name] = serving[0]
+        await self.steady(name)
         try:
             await self._is(name, self.change.before)
         except RefusedError as error:
@@ -84,6 +92,7 @@
         code, said = await self._ask(self.change.after, f"--check {path}")
         if code:
             raise PlanError(f"{name}: the next version refuses its configuration: {said}")
+        return serving[0], member.next_door if serving[0] == member.door else member.door
 
     async def _check_versions(self) -> None:
         """The skew that is allowed: the same handover, and one of both that can be asked to end the other."""
