A keeper: a gateway's connections go on at a standby when its process dies

Need: when a gateway's process died, all its connections were reset, new ones refused until another had started, and its clients came again in a herd.

Change: survival/keeper.py (off unless configured) starts a gateway and a standby, holds copies of the listener and the clients' connections, and passes them on once the kernel says that the process has ended; one that hangs is ended by its pidfd. A row in the record tells what had been read and written on a connection as it was last at rest; where the kernel's counts are the same, it goes on, else it is closed.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -12,6 +12,7 @@
 import sys
 import time
 from collections.abc import Callable, Mapping, Sequence
+from typing import TYPE_CHECKING
 
 import uvloop
 
@@ -28,6 +29,9 @@
 from brackenloft.policy.gateway import Gateway
 from brackenloft.reader import ConfigError
 
+if TYPE_CHECKING:
+    from brackenloft.survival.gateway import Survivor
+
 log = logging.getLogger("brackenloft")
 
 LINES_PER_S = 20  # of the log, at most
@@ -133,23 +137,36 @@
     discovery = Discovery(
         config.discovery, news, config.seed, config.settings.gateways, config.settings.discovery)
     who = {"name": config.name, "listen": f"{config.listen[0]}:{config.listen[1]}"}
-    handover = Handover(os.environ.get("TMPDIR"), who, driver, clients, servers, discovery)
+    survivor = _survivor(clients)
+    # Under a keeper the next process stands by already: it must not take over from one that serves.
+    folder = None if survivor else os.environ.get("TMPDIR")
+    handover = Handover(folder, who, driver, clients, servers, discovery)
     operators = Operators(driver, clients, discovery.roster, handover)
     door = admin.Door(operators.calls(), operators.fence)
     reload = Reload(config, os.environ, driver, servers, clients, discovery, door, handover)
     door.calls.update(reload.calls())
     operators.revision = lambda: reload.config.digest
     hang_up.follow(lambda: loop.call_soon_threadsafe(reload.signal))
+    watching: asyncio.Task[None] | None = None
+    if survivor:  # whoever stands by knows the list as its turn comes
+        _begin_with_known(config, discovery, clients)
+        watching = loop.create_task(discovery.run())
+        if not await survivor.turn(stop):
+            watching.cancel()
+            survivor.close()
+            hang_up.leave()
+            return
     if config.admin:
         await door.listen(*config.admin)
-    passed = _passed(dict(os.environ), config.listen)
+    passed = (survivor and survivor.listener()) or _passed(dict(os.environ), config.listen)
     if await handover.take():
         clients.ready = True
-    else:
-        discovery.known(json.loads(config.known))
-        loop.call_later(FIRST_LIST_S, lambda: setattr(clients, "ready", True))
-    watching = loop.create_task(discovery.run())
+    elif not survivor:
+        _begin_with_known(config, discovery, clients)
+    watching = watching or loop.create_task(discovery.run())
     await clients.listen(*config.listen, passed or handover.take_listener())
+    if survivor:
+        await survivor.serve()
     handover.offer()
     operators.up.set()
     reload.up.set()
@@ -158,12 +175,29 @@
     reload.close()
     await _leave(driver.gateway.settings, driver, clients, handover)
     handover.close()
+    if survivor:
+        survivor.close()
     door.close()
     watching.cancel()
     servers.close()
     hang_up.leave()
 
 
+def _begin_with_known(config: Config, discovery: Discovery, clients: Clients) -> None:
+    """The configuration's list, which may be old: it must do where no other comes soon."""
+    discovery.known(json.loads(config.known))
+    asyncio.get_running_loop().call_later(FIRST_LIST_S, lambda: setattr(clients, "ready", True))
+
+
+def _survivor(clients: Clients) -> Survivor | None:
+    """This process's end of a keeper, where there is one; nothing of it is loaded elsewhere."""
+    path = os.environ.get("EDGE_KEEPER")
+    if not path:
+        return None
+    from brackenloft.survival.gateway import Survivor
+    return Survivor(path, clients)
+
+
 async def _leave(
     settings: api.Settings, driver: Driver, clients: Clients, handover: Handover | None = None,
 ) -> None:
--- a/brackenloft/net/beside.py
+++ b/brackenloft/net/beside.py
@@ -24,7 +24,8 @@
 MISSED = 5  # beats of our own without one of the other's: it hangs. Its longest work in one turn, a state of
 # 4 MB, takes a fifth of that, and clients wait for longer
 CREDENTIALS = "3i"  # of SO_PEERCRED: process, user, group
-RECEIVED = 128  # offset of tcpi_bytes_received in the kernel's struct tcp_info, 64 bits
+ACKNOWLEDGED = 120  # offset of tcpi_bytes_acked in the kernel's struct tcp_info, 64 bits
+RECEIVED = 128  # the same of tcpi_bytes_received
 TCP_INFO = 136  # bytes of it that are read
 
 
@@ -128,6 +129,17 @@
         return int(struct.unpack_from("Q", info, RECEIVED)[0]) - int(struct.unpack("i", unread)[0])
 
 
+def written(descriptor: int) -> int:
+    """Bytes that were written into a TCP connection, by whichever process, up to a constant of its own.
+
+    Those acknowledged and those that are not yet. Raises OSError.
+    """
+    with socket.socket(fileno=os.dup(descriptor)) as sock:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO)
+        queued = fcntl.ioctl(descriptor, termios.TIOCOUTQ, struct.pack("i", 0))
+        return int(struct.unpack_from("Q", info, ACKNOWLEDGED)[0]) + int(struct.unpack("i", queued)[0])
+
+
 class Kept:
     """Copies of connections that were passed on, until the next process has proved itself.
 
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -198,6 +198,7 @@
         self.grace_s = WHOLE_S
         self.moved, self.rounds = False, 0  # since the command's time began: bytes came; its further rounds
         self.unsent_bytes = self.stalled_at = 0
+        self.read_bytes = self.written_bytes = 0  # in all
         self.kept_as = 0  # the number under which the process before this one keeps a copy of it
         self.bad = 0  # commands in a row that were answered with an error
         self.asked = False  # a request has come: clients keep such connections between their requests
@@ -234,6 +235,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Bytes of commands."""
+        self.read_bytes += len(data)
         if self.ending or self.out_of_bounds:
             return
         self.clients.connections.move_to_end(self)  # the last to be pushed out
@@ -269,6 +271,7 @@
         if self.overdue is None and (self.lengths.within() or not self.asked):
             self._await_command()
         self._throttle()
+        self._rest()
         self._leave_if_done()
 
     def _throttle(self) -> None:
@@ -367,6 +370,7 @@
             else:
                 self.unsent(-len(slot.answer))
                 self.transport.write(slot.answer)
+                self.written_bytes += len(slot.answer)
             self.slots.popleft()
             self.idle_since = self.clients.loop.time()
             if self.transport.is_closing():
@@ -375,8 +379,14 @@
             return
         if self.paused:
             self._read()
+        self._rest()
         self._leave_if_done()
 
+    def _rest(self) -> None:
+        """Tell whoever wants to know that all that was read is answered."""
+        if self.clients.on_rest and not self.slots and not self.lengths.within() and not self.ending:
+            self.clients.on_rest(self)
+
     def _pass_on(self, value: Value) -> bool:
         """Write what is there of a long value; whether that was all of it.
 
@@ -387,6 +397,7 @@
         held = value.take()
         if held:
             self.transport.write(held)
+            self.written_bytes += len(held)
         if not value.ended:
             if not self.stuck:
                 value.source.resume()
@@ -479,6 +490,8 @@
         self.elsewhere = 0  # connections that the process before this one still holds
         self.pass_on: Callable[[Client, int], bool] | None = None  # to the next process, if it takes over
         self.on_closed: Callable[[Client], None] | None = None
+        self.on_opened: Callable[[Client], None] | None = None
+        self.on_rest: Callable[[Client], None] | None = None  # nothing of it is in hand
 
     async def listen(self, host: str, port: int, passed: socket.socket | None = None) -> None:
         """Listen on this address only, or on the socket that was passed on and listens there."""
@@ -577,6 +590,8 @@
         Guards against running out of descriptors, which would hit connections to servers too.
         """
         self.connections[client] = None
+        if self.on_opened:
+            self.on_opened(client)
         if not self.beyond():
             return
         idle = next((one for one in self.connections if one is not client and not one.slots), client)
--- a/brackenloft/rollout/__main__.py
+++ b/brackenloft/rollout/__main__.py
@@ -136,13 +136,14 @@
 @click.option("--rollouts", default=2000, show_default=True, type=click.IntRange(1, 100_000))
 @click.option("--members", default=20, show_default=True, type=click.IntRange(4, 1000))
 @click.option("--rate", default=20.0, show_default=True, help="requests a second and member")
-def trial(rollouts: int, members: int, rate: float) -> None:
+@click.option("--harm", "harms", multiple=True, type=click.Choice(list(HARMS)), help="only these; all else")
+def trial(rollouts: int, members: int, rate: float, harms: tuple[str, ...]) -> None:
     """How often the judge stops for nothing, and how soon it finds harm: in virtual time, all cores."""
     title = f"{rollouts} rollouts each, {members} members, {rate:g} requests a second each"
     table = Table("the change does", *(word.value for word in Word if word is not Word.WAIT), "can't tell",
                   "stage", "s until", "hurt: median", "95th", title=title)
     with ProcessPoolExecutor() as pool:
-        for harm in HARMS:
+        for harm in harms or HARMS:
             plays = list(pool.map(partial(play, harm, members, rate), range(rollouts), chunksize=10))
             stopped = sorted((one for one in plays if one.word is Word.WORSE), key=lambda one: one.requests)
             row = ["-"] * 4
--- a/brackenloft/survival/__main__.py
+++ b/brackenloft/survival/__main__.py
@@ -2,16 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
+import logging
 import sys
 import time
+import tomllib
+from pathlib import Path
 
 import click
+import msgspec
 from rich.console import Console
 from rich.table import Table
 
+from brackenloft.survival.keeper import Job, Keeper
 from brackenloft.survival.model import FAULTS, explore
 
-HOLDS, BROKEN = 0, 1
+HOLDS, BROKEN, NO_JOB = 0, 1, 2
 
 
 @click.group()
@@ -43,5 +49,22 @@
     sys.exit(HOLDS if good else BROKEN)
 
 
+@main.command()
+@click.argument("file", type=click.Path(path_type=Path))
+def run(file: Path) -> None:
+    """Keep gateways as a TOML file says, until SIGTERM. Exit code 2: no such file, or another keeper runs."""
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(message)s")
+
+    async def keep(job: Job) -> None:
+        await Keeper(job).run()
+
+    try:
+        job = msgspec.convert(tomllib.loads(file.read_text()), Job)
+        asyncio.run(keep(job))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        click.echo(f"{file}: {error}", err=True)
+        sys.exit(NO_JOB)
+
+
 if __name__ == "__main__":
     main()
--- a/tests/test_survival.py
+++ b/tests/test_survival.py
@@ -1,15 +1,22 @@
 """Work in hand that outlives its process: the model holds, and finds each planted fault."""
 
+import json
 import os
+import signal
 import subprocess
 import sys
 
+import msgspec
 import pytest
 from click.testing import CliRunner
+from fakes import Peer
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from test_rig import ROOT
+from test_beside import call_of
+from test_rig import ROOT, SCENARIO, run
 
+from brackenloft.rig.processes import Program
+from brackenloft.rig.rig import Rig
 from brackenloft.survival.__main__ import main
 from brackenloft.survival.model import FAULTS, HALVES, UNSAFE, Model, World, explore
 from brackenloft.survival.record import HALF, Pair, Record, RecordError
@@ -168,3 +175,152 @@
     with pytest.raises(RecordError):
         Record.open(file)
     os.close(file)
+
+
+# ---- The keeper, over several processes
+
+BOUND = """
+import os, runpy, sys, threading
+sys.path.insert(0, os.getcwd())
+def last():
+    open(sys.argv[1]).read()  # ends with the test, however that ends
+    os._exit(9)
+threading.Thread(target=last, daemon=True).start()
+sys.argv[1:] = []
+runpy.run_module("brackenloft", run_name="__main__", alter_sys=True)
+"""
+
+
+class Kept:
+    """One gateway under a keeper, whichever process serves."""
+
+    def __init__(self, rig, member) -> None:
+        self.rig, self.member = rig, member
+
+    async def pid(self) -> int:
+        """Of the process that serves."""
+        return int(json.loads((await self.rig.door("g0", "FIGURES")).removeprefix("YES "))["pid"])
+
+    async def next_serves(self, before: int) -> int:
+        """Wait until another process than this one does."""
+        while True:
+            text = await self.rig.door("g0", "FIGURES")
+            if text.startswith("YES") and (await self.pid()) != before:
+                return await self.pid()
+
+    async def standby(self) -> None:
+        """Wait until as many stand by as serve."""
+        await self.rig.until(lambda: self.member.log().count('"here"') >= self.seen + 1)
+        self.seen = self.member.log().count('"here"')
+
+    seen = 1
+
+    async def peer(self) -> Peer:
+        return await Peer().open(self.rig.links["clients>g0"].at[1], self.rig.host)
+
+
+def kept(tmp_path, case, seconds=30.0):
+    (tmp_path / "bound.py").write_text(BOUND)
+    os.mkfifo(tmp_path / "end")
+    python = f"exec {sys.executable}"
+    (tmp_path / "keeper.toml").write_text(
+        f'command = "{python} {tmp_path}/bound.py {tmp_path}/end"\nfolder = "{ROOT}"\n'
+        'socket = "$TMPDIR/keeper.sock"\n')
+
+    async def test():
+        world = msgspec.structs.replace(SCENARIO.world, gateways=1, seconds=seconds)
+        scenario = msgspec.structs.replace(SCENARIO, world=world, rate=80.0)
+        program = Program(ROOT, f"{python} -m brackenloft.survival run {tmp_path}/keeper.toml")
+        async with Rig(scenario, tmp_path / "rig", program=program) as rig:
+            made = Kept(rig, rig.members["g0"])
+            try:
+                await case(made)
+            except BaseException:
+                print(made.member.log())
+                raise
+
+    held = os.open(tmp_path / "end", os.O_RDWR)
+    try:
+        run(test())
+    finally:
+        os.close(held)
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
+def test_connections_at_rest_go_on_at_the_standby_and_others_end(tmp_path, number):
+    async def case(made: Kept):
+        rest = await made.peer()
+        for turn in range(2):  # also what was gone on with goes on, and ends
+            await made.standby()
+            busy, half = await made.peer(), await made.peer()
+            for place, peer in enumerate((rest, busy, half)):
+                assert await peer.ask(call_of(place)) == b"%016x" % place
+            for server in made.rig.servers.values():
+                server.mute = True
+            busy.send(call_of(4))
+            half.send(call_of(5)[:30])
+            before = await made.pid()
+            while '"in_hand":1' not in await made.rig.door("g0", "FIGURES"):
+                pass
+            os.kill(before, number)
+            for server in made.rig.servers.values():
+                server.mute = False
+            rest.send(call_of(6))
+            assert await rest.reply() == b"0000000000000006"
+            assert await busy.reply() is None and await half.reply() is None
+            assert await made.next_serves(before) != before
+            assert made.member.log().count("gone on from a process that died") == turn + 1
+        busy = await made.peer()
+        assert await busy.ask(call_of(7)) == b"0000000000000007"
+        await made.standby()
+        for server in made.rig.servers.values():
+            server.mute = True
+        rest.send(call_of(8))  # it has been gone on with twice
+        while '"in_hand":1' not in await made.rig.door("g0", "FIGURES"):
+            pass
+        os.kill(await made.pid(), signal.SIGKILL)
+        assert await rest.reply() is None
+
+    kept(tmp_path, case)
+
+
+def test_keeper_that_dies_takes_nobody_along_and_the_next_one_keeps_all(tmp_path):
+    async def case(made: Kept):
+        await made.standby()
+        rest = await made.peer()
+        assert await rest.ask(call_of(1)) == b"0000000000000001"
+        before, member = await made.pid(), made.member
+        member.process.signal(signal.SIGKILL)
+        await member.process.child.wait()
+        assert await rest.ask(call_of(2)) == b"0000000000000002"
+        await member.start(place=0)
+        await made.rig.until(lambda: '"serving": true' in member.log())
+        assert await made.pid() == before
+        os.kill(before, signal.SIGKILL)
+        assert await rest.ask(call_of(3)) == b"0000000000000003"
+        assert await made.next_serves(before) != before
+
+    kept(tmp_path, case)
+
+
+def test_under_load_a_kill_loses_no_more_than_was_in_hand(tmp_path):
+    async def case(made: Kept):
+        clients = made.rig.clients
+        asking = made.rig.clock.loop.create_task(clients.run())
+        for _ in range(3):
+            await made.standby()
+            at = clients.count["ok"] + 60
+            await made.rig.until(lambda at=at: clients.count["ok"] > at)
+            before, lost = await made.pid(), clients.count["cut"]
+            in_hand = clients.open["g0"]
+            os.kill(before, signal.SIGKILL)
+            await made.next_serves(before)
+            at = clients.count["ok"] + 20
+            await made.rig.until(lambda at=at: clients.count["ok"] > at)
+            assert clients.count["cut"] - lost <= in_hand + 4
+        assert clients.count["unheard"] == 0
+        clients.stopped = True
+        await asking
+        await clients.finish()
+
+    kept(tmp_path, case)
