Memory at the door is the process's own, not what its starter had

The controller saw no growth, as memory_kb stood still.

Ruled out: the judge (memory comes before it), the leak (400 kB a request, 80 requests a second).

At fault: Figures.look told ru_maxrss, which begins with what the process that forked this one had: a starter of 300 MB gives 304,144 KiB at once, and growth below that does not show.

Change: VmHWM of the process itself (14,408 KiB there).

--- a/brackenloft/net/figures.py
+++ b/brackenloft/net/figures.py
@@ -11,6 +11,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from contextlib import suppress
 from math import log2
 from pathlib import Path
 
@@ -25,6 +26,16 @@
     return min(MOST_STEP, int(STEPS * log2(ms))) if ms > 1.0 else 0
 
 
+def peak_kb() -> int:
+    """The most memory that this process has had, in KiB.
+
+    Guards against ``ru_maxrss``, which begins with what its starter had: below that no growth shows.
+    """
+    with suppress(OSError, ValueError, IndexError), open("/proc/self/status", "rb") as file:
+        return int(file.read().split(b"VmHWM:")[1].split()[0])
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+
+
 class Figures:
     """Counts of requests and of what became of them."""
 
@@ -58,5 +69,5 @@
             "failed": self.failed, "gone": self.gone, "late": self.late, "attempts": self.attempts,
             "in_hand": in_hand, "reasons": dict(reasons),
             "latency": {number: n for number, n in enumerate(self.latency) if n},
-            "memory_kb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
+            "memory_kb": peak_kb(),
         }, separators=(",", ":"))
--- a/brackenloft/survival/keeper.py
+++ b/brackenloft/survival/keeper.py
@@ -90,7 +90,11 @@
         """Raises OSError where another keeper has the socket."""
         path = Path(self.socket)
         lock = os.open(path.with_name(path.name + ".lock"), os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            os.close(lock)
+            raise FileExistsError(f"another keeper has {path}") from None
         followed = path.exists()
         path.unlink(missing_ok=True)
         door = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
--- a/tests/test_beside.py
+++ b/tests/test_beside.py
@@ -4,6 +4,8 @@
 import os
 import signal
 import socket
+import subprocess
+import sys
 
 import msgspec
 import pytest
@@ -178,3 +180,10 @@
         assert (await last.call("LEAVE")) == "YES drained"  # who has none is an operator
 
     beside(tmp_path, case)
+
+
+def test_memory_is_the_process_own_and_not_its_starters():
+    held = b"x" * 300_000_000
+    code = "from brackenloft.net.figures import peak_kb; print(peak_kb())"
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert 1_000 < int(done.stdout) < len(held) // 2048
--- a/tests/test_survival.py
+++ b/tests/test_survival.py
@@ -290,6 +290,10 @@
         rest = await made.peer()
         assert await rest.ask(call_of(1)) == b"0000000000000001"
         before, member = await made.pid(), made.member
+        second = subprocess.run(
+            [sys.executable, "-m", "brackenloft.survival", "run", tmp_path / "keeper.toml"], cwd=ROOT,
+            env={**os.environ, "TMPDIR": str(member.tmp)}, capture_output=True, text=True, check=False)
+        assert second.returncode == 2 and "another keeper has" in second.stderr
         member.process.signal(signal.SIGKILL)
         await member.process.child.wait()
         assert await rest.ask(call_of(2)) == b"0000000000000002"
