Tests of the keeper leave no process: one started as its test ends ends at once

A gateway that the keeper starts while its test ends waited for ever to open the pipe whose end is to end it, as nobody writes to it any more. It opens without waiting now, and reads an end.

--- a/tests/test_survival.py
+++ b/tests/test_survival.py
@@ -182,10 +182,12 @@
 BOUND = """
 import os, runpy, sys, threading
 sys.path.insert(0, os.getcwd())
-def last():
-    open(sys.argv[1]).read()  # ends with the test, however that ends
+def last(file):
+    os.read(file, 1)  # ends with the test, however that ends; at once, where it has ended
     os._exit(9)
-threading.Thread(target=last, daemon=True).start()
+file = os.open(sys.argv[1], os.O_RDONLY | os.O_NONBLOCK)
+os.set_blocking(file, True)
+threading.Thread(target=last, args=(file,), daemon=True).start()
 sys.argv[1:] = []
 runpy.run_module("brackenloft", run_name="__main__", alter_sys=True)
 """
