Read once more: the kernel's counts, links, last lines and claims in one place each

Need: the takeover and the rollout of programs had written again what stood beside them. No behaviour changes.

--- a/brackenloft/net/beside.py
+++ b/brackenloft/net/beside.py
@@ -123,10 +123,8 @@
 
 def consumed(descriptor: int) -> int:
     """Bytes of a TCP connection that were read out of the kernel, by whichever process. Raises OSError."""
-    with socket.socket(fileno=os.dup(descriptor)) as sock:
-        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO)
-        unread = fcntl.ioctl(descriptor, termios.FIONREAD, struct.pack("i", 0))
-        return int(struct.unpack_from("Q", info, RECEIVED)[0]) - int(struct.unpack("i", unread)[0])
+    received, unread = _counts(descriptor, RECEIVED, termios.FIONREAD)
+    return received - unread
 
 
 def written(descriptor: int) -> int:
@@ -134,10 +132,16 @@
 
     Those acknowledged and those that are not yet. Raises OSError.
     """
+    acknowledged, queued = _counts(descriptor, ACKNOWLEDGED, termios.TIOCOUTQ)
+    return acknowledged + queued
+
+
+def _counts(descriptor: int, offset: int, request: int) -> tuple[int, int]:
+    """A count of tcp_info's, and what of it still waits in the kernel by an ioctl."""
     with socket.socket(fileno=os.dup(descriptor)) as sock:
         info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO)
-        queued = fcntl.ioctl(descriptor, termios.TIOCOUTQ, struct.pack("i", 0))
-        return int(struct.unpack_from("Q", info, ACKNOWLEDGED)[0]) + int(struct.unpack("i", queued)[0])
+    waiting = fcntl.ioctl(descriptor, request, struct.pack("i", 0))
+    return int(struct.unpack_from("Q", info, offset)[0]), int(struct.unpack("i", waiting)[0])
 
 
 class Kept:
--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -108,7 +108,7 @@
         self.line = bytearray()
         self.transport: asyncio.Transport | None = None
         self.silent: asyncio.TimerHandle | None = None
-        self.ended, self.why = False, ""
+        self.why = ""  # it ended; empty while it runs
         self.done = asyncio.get_running_loop().create_future()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -130,10 +130,9 @@
         self.silent = loop.call_later(SILENT_S, self._close, SILENT)
 
     def _close(self, why: str) -> None:
-        if not self.ended:
+        if not self.why:
             self.why = why
             log.warning("the watch on discovery ended: %s", why)
-        self.ended = True
         if self.transport:
             self.transport.abort()
 
@@ -159,7 +158,7 @@
         if lines:
             self._heard()
         for line in lines:
-            if self.ended:
+            if self.why:
                 return  # what stands behind a line that was lost must not count as all that has come
             if line.strip() and self.parser.get_status_code() == 200:
                 self.discovery.take(line, self)
--- a/brackenloft/net/handover.py
+++ b/brackenloft/net/handover.py
@@ -20,7 +20,7 @@
 import socket
 import zlib
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
@@ -103,7 +103,7 @@
                 self.end(repr(error))
                 return
             if not data or flags & (socket.MSG_TRUNC | socket.MSG_CTRUNC):
-                _close_all(descriptors)
+                close_all(descriptors)
                 self.end("closed" if not data else "a message too long")
                 return
             self.heard = True
@@ -121,17 +121,30 @@
         self.loop.remove_reader(self.sock.fileno())
         self.loop.remove_writer(self.sock.fileno())
         self.sock.close()
-        _close_all([descriptor for _, descriptor in self.queue if descriptor >= 0])
+        close_all([descriptor for _, descriptor in self.queue if descriptor >= 0])
         self.queue.clear()
         self.on_end(self)
 
 
-def _close_all(descriptors: list[int]) -> None:
+def close_all(descriptors: Iterable[int]) -> None:
+    """Close descriptors that are nobody's any more."""
     for descriptor in descriptors:
         with suppress(OSError):
             os.close(descriptor)
 
 
+def connected(path: str) -> socket.socket | None:
+    """A socket for a link to the process that listens there; None where nobody does."""
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    sock.setblocking(False)
+    try:
+        sock.connect(path)
+    except OSError:
+        sock.close()
+        return None
+    return sock
+
+
 class Handover:
     """Both ends of it: taking over from the process before this one, handing over to the next."""
 
@@ -222,12 +235,8 @@
 
     def _connect(self) -> bool:
         """Whether a process listens that is this user's; a path without one is left by a dead one."""
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-        sock.setblocking(False)
-        try:
-            sock.connect(self._address(SOCKET))
-        except OSError:
-            sock.close()
+        sock = connected(self._address(SOCKET))
+        if sock is None:
             return False
         if credentials(sock)[1] != os.getuid():
             sock.close()
@@ -403,7 +412,7 @@
             else:
                 self._document(link, letter, json.loads(rest), descriptors)
         finally:
-            _close_all(descriptors)
+            close_all(descriptors)
 
     def _document(self, link: Link, letter: bytes, document: Any, descriptors: list[int]) -> None:
         if letter == b"H":
--- a/brackenloft/rig/platform.py
+++ b/brackenloft/rig/platform.py
@@ -13,6 +13,7 @@
 
 from brackenloft.rig.processes import Member, Process, Program
 from brackenloft.rig.relay import Address, Link
+from brackenloft.rollout.launch import last_line
 
 UP_S = 20.0  # for a process's door to answer
 END_S = 4.5  # from SIGTERM to SIGKILL
@@ -73,8 +74,7 @@
             await process.child.wait()
         if process.alive:
             return True, "started"
-        lines = member.log().strip().split("\n")
-        return False, f"it ended with {process.child.returncode}: {lines[-1]}"
+        return False, f"it ended with {process.child.returncode}: {last_line(member.log())}"
 
     async def _stop(self, process: Process | None) -> tuple[bool, str]:
         if process is None:
--- a/brackenloft/rig/rollouts.py
+++ b/brackenloft/rig/rollouts.py
@@ -23,6 +23,7 @@
 from brackenloft.rig.processes import BOUND, Program
 from brackenloft.rig.rig import PLACES, Rig
 from brackenloft.rollout import journal as told
+from brackenloft.rollout.launch import last_line
 from brackenloft.rollout.plan import Version
 
 CONTROLLER = ("-m", "brackenloft.rollout")
@@ -140,7 +141,7 @@
 
     def last_line(self) -> str:
         """What a controller has said last."""
-        return (self.log().strip().split("\n") or [""])[-1][:LONGEST_LINE]
+        return last_line(self.log())[:LONGEST_LINE]
 
     def log(self) -> str:
         """What all controllers have said."""
--- a/brackenloft/rollout/controller.py
+++ b/brackenloft/rollout/controller.py
@@ -72,39 +72,32 @@
                 await self._go_back()
             elif self.state.halted:
                 await self._wait_halted()
-            elif self.state.stage >= len(self._begun().stages):
+            elif self.state.stage >= len(self.way.begun().stages):
                 self.note(told.Ended, outcome=DONE)
             else:
                 await self._stage(self.state.stage)
         return self.state.outcome
 
-    def _begun(self) -> told.Begun:
-        assert self.state.begun
-        return self.state.begun
-
     # ---- The beginning
 
     async def _begin(self) -> None:
         """Check everything that can be checked without touching anything."""
         self.doors.fenced = False  # a rollout that may not begin must not stop another that runs
-        try:
-            before, after = await self.way.check()
-        except* PlanError as faults:
-            raise faults.exceptions[0] from None
+        before, after = await self.way.check()
         self.doors.fenced = True
         self.note(told.Begun, plan=self.plan.name, fingerprint=fingerprint(self.plan),
                   stages=self.plan.staged(), before=before, after=after)
 
     def _same_plan(self) -> None:
-        if self._begun().fingerprint != fingerprint(self.plan):
-            raise PlanError(f"the journal is of another plan than this file now is ({self._begun().plan})")
+        if self.way.begun().fingerprint != fingerprint(self.plan):
+            raise PlanError(f"the journal is of another plan than this file now is ({self.way.begun().plan})")
         if self.state.outcome and self.way.outdated():
             raise PlanError("the journal is of other new settings, and is over: name another journal")
 
     # ---- A stage
 
     async def _stage(self, stage: int) -> None:
-        names = self._begun().stages[stage]
+        names = self.way.begun().stages[stage]
         if stage not in self.state.baseline:
             await self._measure(stage)
         elif self.state.judged < stage:
@@ -137,12 +130,12 @@
         self.note(told.Baseline, stage=stage, measured=before)
 
     def _judge(self, stage: int, before: Before) -> Judge:
-        return Judge(self._blamed(stage), before, self.plan.worse, len(self._begun().stages),
+        return Judge(self._blamed(stage), before, self.plan.worse, len(self.way.begun().stages),
                      self.plan.least_requests)
 
     def _blamed(self, stage: int) -> set[str]:
         """Whose figures are the change's: all that have it, as harm may come late, while others are left."""
-        stages = self._begun().stages
+        stages = self.way.begun().stages
         changed = {name for names in stages[:stage + 1] for name in names}
         return changed if len(changed) < len(self.members) else set(stages[stage])
 
@@ -361,7 +354,7 @@
         elif word == "back":
             self.note(told.Turned, why="by hand")
         else:
-            stages = self._begun().stages
+            stages = self.way.begun().stages
             await self._renew(stages[min(self.state.stage, len(stages) - 1)])
             await asyncio.sleep(self.plan.look_s)
 
--- a/brackenloft/rollout/launch.py
+++ b/brackenloft/rollout/launch.py
@@ -24,7 +24,7 @@
 
 import click
 
-OK, FAILED = 0, 1
+FAILED = 1  # the exit code
 LOOK_S = 0.02
 UP_S = 20.0  # for a door to answer
 END_S = 4.5  # from SIGTERM to SIGKILL: as the platform does, and a little more
@@ -94,11 +94,15 @@
             return False
 
 
-def _last_line(log: Path) -> str:
+def last_line(text: str) -> str:
+    """The last line with anything on it; empty where there is none."""
+    return next((line for line in reversed(text.split("\n")) if line.strip()), "")
+
+
+def _end_of(log: Path) -> str:
     with log.open("rb") as file:
         file.seek(max(0, log.stat().st_size - LAST))
-        lines = file.read().decode(errors="replace").split("\n")
-    return next((line for line in reversed(lines) if line.strip()), "")
+        return last_line(file.read().decode(errors="replace"))
 
 
 Folder = click.Path(path_type=Path, exists=True, file_okay=False)
@@ -136,7 +140,7 @@
         if not _up(place, child):
             child.kill()
             child.wait()
-            raise Refused(f"it ended with {child.returncode}: {_last_line(log)}")
+            raise Refused(f"it ended with {child.returncode}: {_end_of(log)}")
         click.echo("started")
 
 
--- a/brackenloft/rollout/programs.py
+++ b/brackenloft/rollout/programs.py
@@ -22,7 +22,8 @@
 
 from brackenloft.rollout.doors import AwayError, Doors
 from brackenloft.rollout.journal import State
-from brackenloft.rollout.plan import Change, Member, Plan, PlanError, Version
+from brackenloft.rollout.launch import last_line
+from brackenloft.rollout.plan import Change, Plan, PlanError, Version
 from brackenloft.rollout.ways import RefusedError, Way
 
 LAUNCH = (sys.executable, "-m", "brackenloft.rollout.launch")
@@ -67,11 +68,8 @@
             async with places:
                 return await self._check_member(name)
 
-        async with asyncio.TaskGroup() as group:
-            looks = {name: group.create_task(look(name)) for name in self.members}
-        doors = {name: task.result() for name, task in looks.items()}
-        return {name: here for name, (here, _) in doors.items()}, {
-            name: there for name, (_, there) in doors.items()}
+        here, there = zip(*await asyncio.gather(*map(look, self.members)), strict=True)
+        return dict(zip(self.members, here, strict=True)), dict(zip(self.members, there, strict=True))
 
     async def _check_member(self, name: str) -> tuple[str, str]:
         """That one process of the version before serves, and the next one takes its file; both doors."""
@@ -88,7 +86,7 @@
             await self._is(name, self.change.before)
         except RefusedError as error:
             raise PlanError(str(error)) from None
-        path = shlex.quote(str(self.config(self.members[name])))
+        path = shlex.quote(str(self.config(member)))
         code, said = await self._ask(self.change.after, f"--check {path}")
         if code:
             raise PlanError(f"{name}: the next version refuses its configuration: {said}")
@@ -163,7 +161,7 @@
         return (await self.doors.figures(name)).pid
 
     async def _start_next(self, name: str, door: str) -> None:
-        code, said = await self._platform(self.change.start or START, name, self.change.after, door)
+        code, said = await self._start(name, self.change.after, door)
         if code:
             raise RefusedError(f"{name}: its next process does not start: {said}")
         if said == "started" and name in self.since:
@@ -179,15 +177,17 @@
         """Two processes last by themselves."""
 
     async def failed(self, name: str) -> str:
-        here, there = await self.both(name)
+        return self._went(name, *await self.both(name))
+
+    def _went(self, name: str, here: Stand, there: Stand) -> str:
         if there is Stand.SILENT and here is Stand.SERVES:
             return f"{name}: its next process has ended, the one before it serves again"
         return ""
 
     async def keep(self, name: str) -> bool:
         here, there = await self.both(name)
-        if there is Stand.SILENT and here is Stand.SERVES:
-            raise RefusedError(f"{name}: its next process has ended, the one before it serves again")
+        if why := self._went(name, here, there):
+            raise RefusedError(why)
         if there is not Stand.SERVES:
             raise AwayError(f"{name}: its next process {there.value}")
         await self._retire(name)
@@ -219,32 +219,38 @@
         door = self.begun().before[name]
         here, there = await self.both(name)
         if here is Stand.SERVES:  # followed nobody, took back, or has taken over again
-            await self._stop(name, self.change.after, self.begun().after[name])
+            await self._stop_next(name)
             self.doors.at[name] = door
             return
         if here is Stand.FOLLOWED:
             await self._retire(name)
         if here is Stand.SILENT:
-            code, said = await self._platform(self.change.start or START, name, self.change.before, door)
+            code, said = await self._start(name, self.change.before, door)
             self.since[name] = asyncio.get_running_loop().time()
             raise AwayError(f"{name}: {said if code else 'the version before starts'}")
         if here is Stand.OTHERWISE and there is not Stand.FOLLOWED:
             try:
                 self._lose_patience(name)
             except RefusedError:  # it does not hand over: ended, it leaves its addresses at least
-                await self._stop(name, self.change.after, self.begun().after[name])
+                await self._stop_next(name)
         raise AwayError(f"{name}: {here.value} as before, {there.value} as after")
 
-    async def _stop(self, name: str, version: Version, door: str) -> None:
-        code, said = await self._platform(self.change.stop or STOP, name, version, door)
+    # ---- The platform
+
+    async def _start(self, name: str, version: Version, door: str) -> tuple[int, str]:
+        return await self._platform(self.change.start or START, name, version, door)
+
+    async def _stop_next(self, name: str) -> None:
+        door = self.begun().after[name]
+        code, said = await self._platform(self.change.stop or STOP, name, self.change.after, door)
         if code:
             raise AwayError(f"{name}: its process at {door} can't be ended: {said}")
 
     async def _platform(
         self, call: tuple[str, ...], name: str, version: Version, door: str,
     ) -> tuple[int, str]:
-        member: Member = self.members[name]
-        return await said_by(self.plan.words(call, member, version, door, self.doors.token), PLATFORM_S)
+        words = self.plan.words(call, self.members[name], version, door, self.doors.token)
+        return await said_by(words, PLATFORM_S)
 
 
 async def said_by(words: list[str], longest_s: float, folder: Path | None = None) -> tuple[int, str]:
@@ -264,5 +270,4 @@
         if child.returncode is None:
             child.kill()
             await child.wait()
-    lines = output.decode(errors="replace").split("\n")
-    return child.returncode or 0, next((line for line in reversed(lines) if line.strip()), "")[:LONGEST_WORD]
+    return child.returncode or 0, last_line(output.decode(errors="replace"))[:LONGEST_WORD]
--- a/brackenloft/survival/gateway.py
+++ b/brackenloft/survival/gateway.py
@@ -18,7 +18,7 @@
 
 from brackenloft.net.beside import BEAT_S, consumed, written
 from brackenloft.net.clients import Client, Clients
-from brackenloft.net.handover import Link
+from brackenloft.net.handover import Link, close_all, connected
 from brackenloft.survival.record import Record, RecordError
 
 log = logging.getLogger(__name__)
@@ -91,12 +91,8 @@
                 self.link.send(b"B")
 
     def _connect(self) -> None:
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-        sock.setblocking(False)
-        try:
-            sock.connect(self.path)
-        except OSError:
-            sock.close()
+        sock = connected(self.path)
+        if sock is None:
             return
         self.link = Link(sock, self._message, self._ended)
         self.link.send(b"H1" if self.serving else b"H0", self.file)
@@ -119,8 +115,7 @@
             self.followed.read(descriptors[0])
         elif letter == b"T":
             self.turned.set()
-        for descriptor in descriptors:
-            os.close(descriptor)
+        close_all(descriptors)
 
     # ---- This process's turn
 
--- a/brackenloft/survival/keeper.py
+++ b/brackenloft/survival/keeper.py
@@ -26,7 +26,7 @@
 from msgspec import Struct
 
 from brackenloft.net.beside import Beats
-from brackenloft.net.handover import Link
+from brackenloft.net.handover import Link, close_all
 
 log = logging.getLogger("brackenloft.survival")
 
@@ -65,10 +65,13 @@
 
     def let_go(self) -> None:
         """Close all copies."""
-        for descriptor in (self.record, self.listener, *self.connections.values()):
-            if descriptor >= 0:
-                os.close(descriptor)
+        close_all(descriptor for descriptor in (self.record, self.listener) if descriptor >= 0)
         self.record = self.listener = -1
+        self.drop_all()
+
+    def drop_all(self) -> None:
+        """Close the copies of all connections."""
+        close_all(self.connections.values())
         self.connections.clear()
 
 
@@ -167,8 +170,7 @@
             else:
                 self._copy(peer, letter, rest, descriptors)
         finally:
-            for descriptor in descriptors:
-                os.close(descriptor)
+            close_all(descriptors)
 
     def _copy(self, peer: Peer, letter: bytes, rest: bytes, descriptors: list[int]) -> None:
         if letter == b"L" and descriptors:
@@ -228,9 +230,7 @@
     def _nobody_came(self, peer: Peer) -> None:
         """Clients are owed an end; the listener stays for whoever comes."""
         if self.left is peer:
-            for descriptor in peer.connections.values():
-                os.close(descriptor)
-            peer.connections.clear()
+            peer.drop_all()
 
     def _next(self) -> None:
         """Where nobody serves, it is the turn of the one that has stood by longest."""
--- a/brackenloft/survival/model.py
+++ b/brackenloft/survival/model.py
@@ -60,7 +60,6 @@
     stream: tuple[Token, ...] = ()
     ran: tuple[int, ...] = (0,) * REQUESTS
     open: bool = True  # the connection
-    gone: bool = False  # the client has left
     keeper: bool = True
     told: frozenset[int] = frozenset()  # standbys that the keeper has told to take over
     deaths: int = 0
@@ -102,7 +101,7 @@
                 if actor.working:
                     yield from ((f"{name} {what}", to) for what, to in self._work(world, number, actor))
                 elif number in world.told:
-                    yield from ((f"{name} {what}", to) for what, to in self._claim(world, number, actor))
+                    yield from ((f"{name} {what}", to) for what, to in self._claim(world, number))
                 if world.stops == 0 and number == 0:
                     yield f"{name} is stopped", self._with(world, number, life=STOPPED, stops=1)
             if actor.life == STOPPED:
@@ -119,8 +118,8 @@
                     world, keeper=False, told=frozenset(), deaths=world.deaths + 1)
         else:
             yield "a keeper starts", structs.replace(world, keeper=True)
-        if not world.gone and world.open:
-            yield "the client goes away", structs.replace(world, gone=True, open=False)
+        if world.open:
+            yield "the client goes away", structs.replace(world, open=False)
 
     def _keep(self, world: World) -> Iterator[tuple[str, World]]:
         """The keeper: ends whoever hangs, and tells standbys once the holder's end is certain."""
@@ -135,7 +134,7 @@
 
     # ---- Claims
 
-    def _claim(self, world: World, number: int, actor: Actor) -> Iterator[tuple[str, World]]:
+    def _claim(self, world: World, number: int) -> Iterator[tuple[str, World]]:
         """Atomic: the number grows, and nobody gets it while its holder may live."""
         if self.fault == "no number":
             yield "goes on with the work", self._take_on(world, number, world.claim)
--- a/brackenloft/survival/record.py
+++ b/brackenloft/survival/record.py
@@ -81,7 +81,6 @@
             raise RecordError("a record that breaks off")
         self.room = room
         self.rows = [Pair(memory, ROWS_AT + row * 2 * (HALF.size + room), room) for row in range(rows)]
-        self.claims = Pair(memory, CLAIM_AT, CLAIM.size)
         self.free = [row for row in range(rows - 1, -1, -1) if not self.rows[row].read()]
         self.unprotected = 0
 
@@ -138,19 +137,23 @@
     def claim(self) -> int:
         """A number above all before it, if the holder has certainly ended; else 0. One caller at a time."""
         with self._alone():
-            held = self.claims = Pair(self.memory, CLAIM_AT, CLAIM.size)
-            number, process, started = CLAIM.unpack(held.read() or bytes(CLAIM.size))
+            pair, number, process, started = self._held()
             if process and not has_ended(process, started):
                 return 0
             own = os.getpid()
-            held.write(CLAIM.pack(number + 1, own, started_at(own) or 0))
-            return int(number) + 1
+            pair.write(CLAIM.pack(number + 1, own, started_at(own) or 0))
+            return number + 1
 
     def holder(self) -> tuple[int, int]:
         """The highest number that was given, and the process that has it; 0 and 0 at the beginning."""
-        held = Pair(self.memory, CLAIM_AT, CLAIM.size).read() or bytes(CLAIM.size)
-        number, process, _ = CLAIM.unpack(held)
-        return int(number), int(process)
+        _, number, process, _ = self._held()
+        return number, process
+
+    def _held(self) -> tuple[Pair, int, int, int]:
+        """The claim as it stands now: others write it, too."""
+        pair = Pair(self.memory, CLAIM_AT, CLAIM.size)
+        number, process, started = CLAIM.unpack(pair.read() or bytes(CLAIM.size))
+        return pair, number, process, started
 
     @contextmanager
     def _alone(self) -> Iterator[None]:
--- a/tests/test_survival.py
+++ b/tests/test_survival.py
@@ -207,8 +207,9 @@
         """Wait until another process than this one does."""
         while True:
             text = await self.rig.door("g0", "FIGURES")
-            if text.startswith("YES") and (await self.pid()) != before:
-                return await self.pid()
+            now = int(json.loads(text.removeprefix("YES "))["pid"]) if text.startswith("YES") else before
+            if now != before:
+                return now
 
     async def standby(self) -> None:
         """Wait until as many stand by as serve."""
@@ -217,6 +218,16 @@
 
     seen = 1
 
+    def mute(self, on: bool) -> None:
+        """Whether the servers say nothing."""
+        for server in self.rig.servers.values():
+            server.mute = on
+
+    async def in_hand(self) -> None:
+        """Wait until a request is."""
+        while '"in_hand":1' not in await self.rig.door("g0", "FIGURES"):
+            pass
+
     async def peer(self) -> Peer:
         return await Peer().open(self.rig.links["clients>g0"].at[1], self.rig.host)
 
@@ -257,16 +268,13 @@
             busy, half = await made.peer(), await made.peer()
             for place, peer in enumerate((rest, busy, half)):
                 assert await peer.ask(call_of(place)) == b"%016x" % place
-            for server in made.rig.servers.values():
-                server.mute = True
+            made.mute(True)
             busy.send(call_of(4))
             half.send(call_of(5)[:30])
             before = await made.pid()
-            while '"in_hand":1' not in await made.rig.door("g0", "FIGURES"):
-                pass
+            await made.in_hand()
             os.kill(before, number)
-            for server in made.rig.servers.values():
-                server.mute = False
+            made.mute(False)
             rest.send(call_of(6))
             assert await rest.reply() == b"0000000000000006"
             assert await busy.reply() is None and await half.reply() is None
@@ -275,11 +283,9 @@
         busy = await made.peer()
         assert await busy.ask(call_of(7)) == b"0000000000000007"
         await made.standby()
-        for server in made.rig.servers.values():
-            server.mute = True
+        made.mute(True)
         rest.send(call_of(8))  # it has been gone on with twice
-        while '"in_hand":1' not in await made.rig.door("g0", "FIGURES"):
-            pass
+        await made.in_hand()
         os.kill(await made.pid(), signal.SIGKILL)
         assert await rest.reply() is None
 
