A keeper lets go of a link's copies when its process comes over a new one

Seen: read, not met. Where a link breaks while both processes live, the gateway comes again and tells of all its connections; the keeper forgot the old link and kept its copies, so that none of those connections could end for its client.

At fault: Keeper._come, which forgot without letting go. The test fails without the change.

--- a/brackenloft/survival/keeper.py
+++ b/brackenloft/survival/keeper.py
@@ -185,7 +185,8 @@
 
     def _come(self, link: Link, record: int, serving: bool) -> None:
         for old in [old for old in self.peers.values() if old.link.other.pid == link.other.pid]:
-            self._forget(old)  # the same process, over a new link
+            self._forget(old)  # the same process, over a new link: it tells of all that it has again
+            old.let_go()
         peer = self.peers[link] = Peer(link, record, serving)
         peer.beats = Beats(lambda: None, link.other.kill)  # hung: its end tells the rest
         peer.beats.start()
--- a/tests/test_survival.py
+++ b/tests/test_survival.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -18,6 +19,7 @@
 from brackenloft.rig.processes import Program
 from brackenloft.rig.rig import Rig
 from brackenloft.survival.__main__ import main
+from brackenloft.survival.keeper import Job, Keeper
 from brackenloft.survival.model import FAULTS, HALVES, UNSAFE, Model, World, explore
 from brackenloft.survival.record import HALF, Pair, Record, RecordError
 
@@ -315,6 +317,29 @@
     kept(tmp_path, case)
 
 
+def test_process_that_comes_over_a_new_link_leaves_no_copy_of_the_old_one(tmp_path):
+    class Fake:
+        pid = 7
+
+        def kill(self) -> None: ...
+
+        def close(self) -> None: ...
+
+    async def test():
+        keeper = Keeper(Job("true", ".", str(tmp_path / "sock")))
+        before = len(os.listdir("/proc/self/fd"))
+        first, second = SimpleNamespace(other=Fake()), SimpleNamespace(other=Fake())
+        for link in (first, second):
+            keeper._message(link, b"H1", [os.memfd_create("record")])
+            keeper._message(link, b"C1", [os.memfd_create("connection")])
+        assert list(keeper.peers) == [second] and len(os.listdir("/proc/self/fd")) == before + 2
+        keeper._message(second, b"D1", [])
+        assert len(os.listdir("/proc/self/fd")) == before + 1  # nothing keeps it from ending
+        keeper.peers[second].let_go()
+
+    run(test())
+
+
 def test_under_load_a_kill_loses_no_more_than_was_in_hand(tmp_path):
     async def case(made: Kept):
         clients = made.rig.clients
