--- a/tests/test_survival.py
+++ b/tests/test_survival.py
@@ -5,7 +5,6 @@
 import signal
 import subprocess
 import sys
-from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -319,8 +318,13 @@
 
 def test_process_that_comes_over_a_new_link_leaves_no_copy_of_the_old_one(tmp_path):
     class Fake:
+        """A link, and the process at its other end."""
+
         pid = 7
 
+        def __init__(self) -> None:
+            self.other = self
+
         def kill(self) -> None: ...
 
         def close(self) -> None: ...
@@ -328,7 +332,7 @@
     async def test():
         keeper = Keeper(Job("true", ".", str(tmp_path / "sock")))
         before = len(os.listdir("/proc/self/fd"))
-        first, second = SimpleNamespace(other=Fake()), SimpleNamespace(other=Fake())
+        first, second = Fake(), Fake()
         for link in (first, second):
             keeper._message(link, b"H1", [os.memfd_create("record")])
             keeper._message(link, b"C1", [os.memfd_create("connection")])
