A gateway that stops waits for its last answers: its end cut some of them off

Cause: the decisions answer what hangs two ticks (8 ms) before the end that they are told; `_leave` cut all connections at that very end, whether or not those answers had been given. A loop that was late by 8 ms lost them.

Change: what is in hand is waited for 0.15 s longer, of the 0.3 s until SIGKILL. The test holds the decisions' clock back; without the change it finds b'' in place of the answer, for each effect of a class.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -39,6 +39,7 @@
 LAST_S = 0.5  # before its end a gateway that stops takes no more: what it took last is answered in that time
 KILL_S = (3.0, 0.7)  # after SIGTERM comes SIGKILL: the longest deadline, this at most, and so much more
 SPARE_S = 0.3  # of that time, in which all is answered but not yet killed
+CLOSE_S = 0.15  # of that, in which the last answers are written, and clients see their connections end
 BAD_CONFIGURATION = 2  # the exit code, of a start and of a check
 
 
@@ -218,7 +219,8 @@
             break
         await asyncio.sleep(0.01)
     clients.stop_listening()
-    while clients.connections and loop.time() < end:
+    # The decisions give their last answers just before the end; each connection closes behind its own.
+    while clients.connections and loop.time() < end + CLOSE_S:
         await asyncio.sleep(0.01)
     clients.abort()
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -225,3 +226,37 @@
 def row(name: str, port: int, state: str = "Ready", started: int = 0) -> dict[str, Any]:
     return {"instanceId": name, "hostPort": f"127.0.0.1:{port}", "zone": "a", "machineType": "m", "cell": 0,
             "lifecycle": state, "weight": 1.0, "startedAtMs": started}
+
+
+class Raw:
+    """A client whose bytes are in the gateway's kernel as ``send`` returns, read or not."""
+
+    def __init__(self, port: int, room: int = 0) -> None:
+        self.sock = socket.socket()
+        if room:  # bytes that it takes without reading: what comes beyond stays in the gateway's kernel
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, room)
+        self.sock.connect(("127.0.0.1", port))
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def send(self, *commands: bytes) -> None:
+        self.sock.setblocking(True)
+        self.sock.sendall(b"".join(commands))
+        self.sock.setblocking(False)
+
+    async def read(self, size: int) -> bytes:
+        """So many bytes, or fewer at the end. Raises ConnectionResetError."""
+        self.sock.setblocking(False)
+        data, loop = b"", asyncio.get_running_loop()
+        while len(data) < size and (more := await loop.sock_recv(self.sock, min(65536, size - len(data)))):
+            data += more
+        return data
+
+    async def rest(self) -> tuple[bytes, str]:
+        """All until the end, and how it came: in order, or by a reset."""
+        data = b""
+        try:
+            while more := await self.read(1):
+                data += more
+        except ConnectionResetError:
+            return data, "reset"
+        return data, "end"
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -9,11 +9,26 @@
 import sys
 import tomllib
 from contextlib import asynccontextmanager, suppress
+from math import inf
 from pathlib import Path
 
 import pytest
 from fakes import SETTINGS as FAKE_SETTINGS
-from fakes import FakeDiscovery, FakeServer, Peer, array, call, chunk, listing, node, resp, row, run
+from fakes import (
+    FakeDiscovery,
+    FakeServer,
+    Peer,
+    Raw,
+    array,
+    call,
+    chunk,
+    listing,
+    node,
+    resp,
+    row,
+    run,
+    until,
+)
 from test_adapter import ENV
 
 from brackenloft import __main__ as program_module
@@ -426,3 +441,26 @@
             assert await process.wait() == 0
 
     run(test())
+
+
+@pytest.mark.parametrize("kind", ["read", "post", "buy"])
+def test_last_answers_of_a_stop_are_written_although_the_loop_is_late(monkeypatch, kind):
+    monkeypatch.setattr(program_module, "KILL_S", (0.2, 0.7))
+    monkeypatch.setattr(program_module, "CLOSE_S", 30.0, raising=False)
+
+    async def test():
+        server = FakeServer(lambda words: None)
+        async with node(server) as gateway:
+            raw, clock = Raw(gateway.clients.listener.getsockname()[1]), gateway.driver.clock
+            raw.send(call(1, kind))
+            await server.until(lambda: len(server.commands) == 1)
+            leaving = asyncio.ensure_future(
+                program_module._leave(FAKE_SETTINGS, gateway.driver, gateway.clients))
+            await until(lambda: gateway.driver.gateway.answers.ends_at < inf)
+            began = clock()
+            gateway.driver.clock = lambda: began + (clock() - began) / 2.0  # all timers come late
+            data, end = await raw.rest()
+            assert data == (b"-BUSY\r\n" if kind == "read" else b"-ERR failed\r\n") and end == "end"
+            await leaving
+
+    run(test())
