Clients' connections end with a lingering close, and what has come by then is served

Seen by reading, then forced by tests: a connection that was closed over bytes that were not read is reset, and an answer that its client has not taken is lost with it; a request that had come unread as an idle connection was closed (stop, drain, over the limit, fewer connections) got no answer; connections in the listener's queue at the stop were reset; a client that left with 64 commands in hand was not noticed, and what stood behind them was sent on after it had gone.

Change: one way to close (`Client.close`): all that was answered, then the end; what still comes is read and thrown away for 0.4 s, 1 MiB at most, and nothing of it is sent on. An idle connection is closed only where nothing has come on it. At the stop the queue is accepted first; half a command, and a new connection without one, may be completed for 0.25 s. Behind 64 commands reading goes on, 2 MiB over all connections, so that a client's end is seen. Over that it is not seen until some are answered.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -220,7 +220,7 @@
         await asyncio.sleep(0.01)
     clients.stop_listening()
     # The decisions give their last answers just before the end; each connection closes behind its own.
-    while clients.connections and loop.time() < end + CLOSE_S:
+    while (clients.connections or clients.lingering) and loop.time() < end + CLOSE_S:
         await asyncio.sleep(0.01)
     clients.abort()
 
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -17,18 +17,24 @@
 from brackenloft.net.driver import CLIENT_MARGIN_MS, Call, Driver
 from brackenloft.net.lengths import Lengths
 from brackenloft.net.servers import Source
+from brackenloft.net.sockets import unread
 
 log = logging.getLogger(__name__)
 
 MOST_PIPELINED = 64  # commands of one connection in hand; what comes behind waits in the kernel
 READ = 64 * 1024  # bytes read at once
 LONGEST_COMMAND = 192 * 1024  # bytes read without a whole command: a body, one read, and to spare
+MOST_BEHIND = 2 * 1024 * 1024  # bytes read behind as many commands as may be in hand, over all connections
 MOST_UNSENT = 8 * 1024 * 1024  # bytes of answers that clients have not taken, over all of them
 BODY_ROUNDS = 3  # times that a body may go on for as long as a command may, while its bytes come
 LONGEST_WORD = 64 * 1024  # bytes: what the protocol allows a value
 STALLED_S = 15.0  # a client that takes no byte of its answers for so long is gone
 WHOLE_S = 2.5  # until a first request, and for the rest of a command: a peer is owed a close within 3 s
 MOST_BAD = 16  # bad commands in a row: who sends more is no client
+LINGER_S = 0.4  # for what still comes behind a close: with WHOLE_S it stays under the 3 s that a peer is owed
+MOST_LINGERING = 16  # connections that are over but for that, beyond those that may be open
+MOST_THROWN = 1024 * 1024  # bytes that are read only to be thrown away: who sends more is no client
+LATE_S = 0.25  # at the stop, for a command that is on its way: half of it is here, or a new connection
 SWEEP_S = 0.1  # between two looks at idle connections while they are not wanted
 BIND_S = 10.0  # for the address to become free
 BACKLOG = 1024  # connections that wait to be accepted
@@ -142,7 +148,7 @@
 
     def begin(self, length: int, source: Source) -> Value | None:
         """The command's one answer begins, and comes in pieces."""
-        if self.connection.transport is None:
+        if not self.connection.open():
             return None
         self.value = Value(self.connection, length, source)
         self.connection.flush()
@@ -162,7 +168,7 @@
 
     def write(self, data: bytes) -> None:
         """The next piece; nothing is kept for a client that has gone."""
-        if self.connection.transport is None:
+        if not self.connection.open():
             return
         self.held += data
         self.connection.flush()
@@ -194,6 +200,10 @@
         self.out_of_bounds = False  # what came behind what the parser has is no command
         self.transport: asyncio.Transport | None = None
         self.ending = self.stuck = self.paused = self.reading = False
+        self.full = False  # as many are in hand as may be: what has come behind them waits
+        self.lingering: asyncio.TimerHandle | None = None  # closed but for what still comes
+        self.behind = 0  # bytes of commands that wait so
+        self.thrown = 0  # bytes that came behind the last command and were thrown away
         self.made = self.idle_since = clients.loop.time()
         self.grace_s = WHOLE_S
         self.moved, self.rounds = False, 0  # since the command's time began: bytes came; its further rounds
@@ -216,8 +226,20 @@
         self.transport = None
         if self.stall:
             self.stall.cancel()
-        self._command_came()
+        if self.lingering:
+            self.lingering.cancel()
         self.clients.closed(self)
+        self.clients.lingering.pop(self, None)
+        self._let_go()
+
+    def open(self) -> bool:
+        """Whether answers can be written."""
+        return self.transport is not None and self.lingering is None
+
+    def _let_go(self) -> None:
+        """Nobody waits for what is in hand."""
+        self._command_came()
+        self._count_behind(0)
         slots, self.slots = self.slots, deque()
         self.unsent(-self.unsent_bytes)
         for slot in slots:
@@ -231,13 +253,24 @@
         return self.clients.buffer
 
     def buffer_updated(self, nbytes: int) -> None:
-        self.data_received(bytes(self.clients.buffer[:nbytes]))
+        if self.ending or self.out_of_bounds:
+            self._throw_away(nbytes)
+        else:
+            self.data_received(bytes(self.clients.buffer[:nbytes]))
+
+    def _throw_away(self, nbytes: int) -> None:
+        """What comes behind the last command is read all the same: only so is the client's end seen, and a
+        close does not reset the connection under the answers before it. Guards against endless bytes."""
+        self.read_bytes += nbytes
+        self.thrown += nbytes
+        if self.lingering and self.thrown > MOST_THROWN and self.transport:
+            self.transport.abort()
+        else:
+            self._throttle()
 
     def data_received(self, data: bytes) -> None:
         """Bytes of commands."""
         self.read_bytes += len(data)
-        if self.ending or self.out_of_bounds:
-            return
         self.clients.connections.move_to_end(self)  # the last to be pushed out
         self.idle_since = self.clients.loop.time()
         self.moved = True
@@ -254,7 +287,7 @@
         that a command gets at once calls ``flush``, which may come back here: ``reading`` says so.
         """
         self.reading = True
-        while not self.ending and self.transport and len(self.slots) < MOST_PIPELINED and not self.stuck:
+        while not self.ending and self.transport and not self._is_full():
             try:
                 command = self.reader.gets()
             except (hiredis.HiredisError, ValueError, MemoryError):  # an array of billions is the last
@@ -268,20 +301,34 @@
             self._command_came()
             self._take(command)
         self.reading = False
+        self.full = self._is_full()
         if self.overdue is None and (self.lengths.within() or not self.asked):
             self._await_command()
         self._throttle()
         self._rest()
         self._leave_if_done()
 
+    def _is_full(self) -> bool:
+        return self.stuck or len(self.slots) >= MOST_PIPELINED
+
     def _throttle(self) -> None:
+        """Read on as long as there is room for what comes: the client's end stands behind it, and what it
+        left behind is not sent on once that is seen."""
         if self.transport is None or self.transport.is_closing():
             return
-        pause = self.stuck or self.ending or len(self.slots) >= MOST_PIPELINED
+        if self.ending or self.out_of_bounds:
+            pause = self.thrown > MOST_THROWN
+        else:
+            self._count_behind(self.unparsed if len(self.slots) >= MOST_PIPELINED else 0)
+            pause = self.stuck or (self.behind >= READ and self.clients.behind_bytes >= MOST_BEHIND)
         if pause != self.paused:
             self.paused = pause
             (self.transport.pause_reading if pause else self.transport.resume_reading)()
 
+    def _count_behind(self, behind: int) -> None:
+        self.clients.behind_bytes += behind - self.behind
+        self.behind = behind
+
     def _await_command(self) -> None:
         """Guards against peers that send nothing, half a command or one PING, and would stay for good."""
         self.overdue = self.clients.loop.call_later(self.grace_s, self._not_whole)
@@ -295,7 +342,7 @@
 
     def _not_whole(self) -> None:
         self.overdue = None
-        if self.paused:  # whole commands may wait behind those in hand: it is not the peer that is late
+        if self.full:  # whole commands may wait behind those in hand: it is not the peer that is late
             self._await_command()
         elif self.moved and self.asked and self.lengths.in_last_word() and self.rounds < BODY_ROUNDS:
             self.rounds += 1  # the head has come in time, and the body is on its way
@@ -358,13 +405,15 @@
 
     def flush(self) -> None:
         """Write the replies that are due, in the order of their commands."""
-        if self.transport is None:
+        if self.transport is None or self.lingering:
             return
         while self.slots and not self.stuck:
             slot = self.slots[0]
             if slot.value:
                 if not self._pass_on(slot.value):
                     break
+                if self.lingering:  # it broke off, and the connection with it
+                    return
             elif slot.answer is None:
                 break
             else:
@@ -373,11 +422,11 @@
                 self.written_bytes += len(slot.answer)
             self.slots.popleft()
             self.idle_since = self.clients.loop.time()
-            if self.transport.is_closing():
+            if self.lingering or self.transport.is_closing():
                 return
         if self.reading:
             return
-        if self.paused:
+        if self.full:
             self._read()
         self._rest()
         self._leave_if_done()
@@ -403,8 +452,7 @@
                 value.source.resume()
             return False
         if not value.whole:
-            self.ending = True
-            self.transport.close()
+            self.close()
         return True
 
     def unsent(self, more: int) -> None:
@@ -418,8 +466,10 @@
         Commands that were read but not taken yet, as too many were in hand, are taken first: closing
         then would lose them.
         """
-        if self.transport and not self.slots and (self.ending or self.clients.leaving):
-            self.transport.close()
+        if self.slots or not self.open():
+            return
+        if self.ending or (self.clients.leaving and (self.clients.late or self.at_rest())):
+            self.close()
         elif self.clients.pass_on:
             self.clients.try_to_pass(self)
         elif self.asked and not self.lengths.within() and self.clients.unwanted():
@@ -432,6 +482,47 @@
                 and not self.lengths.within() and not self.out_of_bounds
                 and transport.get_write_buffer_size() == 0)
 
+    def idle(self) -> bool:
+        """Whether a close crosses nothing that is here already: of no command a part is here, read or not."""
+        return (self.open() and not self.slots and not self.ending and not self.lengths.within()
+                and not self.out_of_bounds and not self.unread())
+
+    def at_rest(self) -> bool:
+        """Whether it is idle and has been used: a new one has its first command on its way."""
+        return self.asked and self.idle()
+
+    def unread(self) -> bool:
+        """Whether bytes, or the client's end, are here and were not read yet."""
+        assert self.transport
+        return self.transport.is_closing() or unread(self.transport.get_extra_info("socket").fileno())
+
+    def close(self) -> None:
+        """The one way to end a connection on which something may be on its way: all that was answered is
+        sent, then its end; what still comes is read and thrown away for a short time.
+
+        Guards against a reset: a socket that is closed over bytes that were not read resets its connection,
+        and answers that the client has not read yet are lost with it.
+        """
+        if self.transport is None or self.lingering:
+            return
+        self.ending = True
+        self.lingering = self.clients.loop.call_later(LINGER_S, self._lingered)
+        self.clients.closed(self)
+        self.clients.lingering[self] = None
+        self._let_go()
+        self._throttle()
+        try:
+            self.transport.write_eof()
+        except (OSError, RuntimeError):  # it has ended meanwhile
+            self.transport.abort()
+
+    def _lingered(self) -> None:
+        """Long enough; a client that is slow to take its answers has as long as any slow one."""
+        if self.transport and self.transport.get_write_buffer_size():
+            self._watch()
+        elif self.transport:
+            self.transport.abort()
+
     def detach(self) -> None:
         """Let go of the socket, which another process has by now."""
         self.clients.closed(self)
@@ -439,10 +530,15 @@
             self.transport.pause_reading()
             self.transport.abort()
 
+    def refuse_for_want_of_room(self) -> None:
+        """Tell a client that there are too many."""
+        assert self.transport
+        self.transport.write(b"-ERR max number of clients reached\r\n")
+
     def close_idle(self) -> None:
-        """Close unless something is owed on it."""
-        if self.transport and not self.slots:
-            self.transport.close()
+        """Close unless something is owed on it, or about to be."""
+        if self.open() and not self.slots and not self.unread():
+            self.close()
 
     def pause_writing(self) -> None:
         """The client does not take its answers: it is read no further, and given up after a while.
@@ -455,13 +551,15 @@
 
     def resume_writing(self) -> None:
         self.stuck = False
-        if self.stall:
+        if self.stall and not self.lingering:
             self.stall.cancel()
         self.flush()
 
     def _watch(self) -> None:
         assert self.transport
         self.stalled_at = self.transport.get_write_buffer_size()
+        if self.stall:
+            self.stall.cancel()
         self.stall = self.clients.loop.call_later(STALLED_S, self._stalled)
 
     def _stalled(self) -> None:
@@ -479,8 +577,12 @@
         self.driver, self.commands = driver, Commands(settings)
         self.most_connections = most_connections
         self.connections: OrderedDict[Client, None] = OrderedDict()
+        self.lingering: dict[Client, None] = {}  # closed, but for what still comes on them
+        self.behind_bytes = 0  # of commands that wait behind as many as may be in hand
         self.loop = asyncio.get_running_loop()
         self.ready = self.leaving = False  # ready: the list of servers is known
+        self.late = False  # it leaves, and waits no longer for what is on its way
+        self.adopting: set[asyncio.Task[None]] = set()
         self.serving, self.linger_s = True, inf  # as the decisions want it
         self.sweeper: asyncio.TimerHandle | None = None
         self.server: asyncio.Server | None = None
@@ -570,11 +672,11 @@
         One with something in hand goes once it has been answered.
         """
         self.commands, self.most_connections = Commands(settings), most_connections
-        for client in [client for client in self.connections if client.between_requests()]:
+        for client in list(self.connections):
             if not self.beyond():
                 break
-            self.closed(client)
-            client.close_idle()
+            if client.idle():
+                client.close()
 
     def unwanted(self) -> bool:
         """Whether a connection is closed as soon as nothing is owed on it."""
@@ -594,13 +696,18 @@
             self.on_opened(client)
         if not self.beyond():
             return
-        idle = next((one for one in self.connections if one is not client and not one.slots), client)
-        assert idle.transport
-        self.closed(idle)  # at once: the next one must not count on the same place again
-        idle.ending = True
+        idle = next((one for one in self.connections if one is not client and one.idle()), None)
+        idle = idle or next((one for one in self.connections
+                             if one is not client and not one.slots and not one.unread()), client)
         if idle is client:
-            idle.transport.write(b"-ERR max number of clients reached\r\n")
-        idle.transport.close()
+            client.refuse_for_want_of_room()
+        idle.close()  # it counts no more: the next one must not count on the same place again
+        while len(self.connections) + len(self.lingering) > self.most_connections + MOST_LINGERING:
+            oldest = next(iter(self.lingering), None)
+            if oldest is None or oldest.transport is None:
+                break
+            del self.lingering[oldest]
+            oldest.transport.abort()
 
     def unsent(self, more: int) -> None:
         """Count answers that wait to be written; beyond the limit who holds most of them goes.
@@ -615,23 +722,45 @@
                 most.transport.abort()
 
     def closed(self, client: Client) -> None:
-        """A connection has ended."""
+        """A connection has ended, or is over but for what still comes on it."""
         self.connections.pop(client, None)
         if self.on_closed:
             self.on_closed(client)
 
     def stop_listening(self) -> None:
-        """Accept no more, and close each connection once nothing is owed on it."""
-        self.stop_accepting()
+        """Accept no more than has come, and close each connection once nothing is owed on it."""
         if self.listener:
+            if self.server:
+                self._accept_rest(self.listener)
             self.listener.close()
             self.listener = None
+        self.stop_accepting()
         self.leaving = True
         for client in list(self.connections):
             client.flush()
+        self.loop.call_later(LATE_S, self._close_late)
+
+    def _accept_rest(self, listener: socket.socket) -> None:
+        """Take all that waits in the listener's queue: closing it would reset them, requests and all."""
+        listener.setblocking(False)
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError:  # there is none, or no descriptor for it
+                return
+            sock.setblocking(False)
+            task = self.loop.create_task(self.adopt(sock, False, 0.0))
+            self.adopting.add(task)
+            task.add_done_callback(self.adopting.discard)
+
+    def _close_late(self) -> None:
+        """Whoever has not sent a whole command by now finds it closed: it sends it elsewhere."""
+        self.late = True
+        for client in list(self.connections):
+            client.flush()
 
     def abort(self) -> None:
         """Close what is left, at the very end."""
-        for client in list(self.connections):
+        for client in [*self.connections, *self.lingering]:
             if client.transport:
                 client.transport.abort()
--- a/brackenloft/net/reload.py
+++ b/brackenloft/net/reload.py
@@ -21,7 +21,7 @@
 from brackenloft.config import Config, read, read_file, told
 from brackenloft.net import admin
 from brackenloft.net.admin import Answer, Handler
-from brackenloft.net.clients import Clients
+from brackenloft.net.clients import MOST_LINGERING, Clients
 from brackenloft.net.discovery import Discovery
 from brackenloft.net.driver import Driver
 from brackenloft.net.handover import Handover
@@ -30,7 +30,8 @@
 
 log = logging.getLogger(__name__)
 
-OTHER_DESCRIPTORS = 32  # beside clients and servers: the log, the loop, discovery, the listener, a margin
+# Beside clients and servers: the log, the loop, discovery, the listener, a margin, clients that linger.
+OTHER_DESCRIPTORS = 32 + MOST_LINGERING
 AGAIN_S = 0.1  # between readings of a file that is torn or missing: it may be being written
 READINGS = 20  # after SIGHUP: half of the time in which the platform wants discovery to have moved
 READINGS_ASKED = 4  # after RELOAD: whoever asks waits 1 s
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -19,6 +19,7 @@
 
 from brackenloft import interface as api
 from brackenloft.net.lengths import LONG, Lengths, long_value
+from brackenloft.net.sockets import unread
 from brackenloft.settings import REPORT_FIELD
 
 log = logging.getLogger(__name__)
@@ -338,15 +339,7 @@
         end as a reset, which is fatal for an unsafe one.
         """
         assert self.socket is not None
-        if self.closed:
-            return False
-        try:
-            self.socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return not self.closed and not unread(self.socket.fileno())
 
     # ---- The end
 
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,248 @@
+"""Two events that cross on a client's connection. Each crossing is forced by its order: bytes are in the
+gateway's kernel, unread, as the other event comes, which is a call between two turns of the loop."""
+
+import asyncio
+
+import pytest
+from fakes import SETTINGS, FakeServer, Raw, array, call, node, resp, run, until
+
+from brackenloft import Admit
+from brackenloft.net import clients as module
+from brackenloft.net.clients import MOST_PIPELINED
+
+BUSY = b"-ERR max number of clients reached\r\n"
+
+
+def bulk(value: bytes) -> bytes:
+    return b"$%d\r\n%b\r\n" % (len(value), value)
+
+
+def port(gateway) -> int:
+    return gateway.clients.listener.getsockname()[1]
+
+
+async def used(gateway, room: int = 0) -> Raw:
+    """A client that has been served and rests."""
+    raw = Raw(port(gateway), room)
+    raw.send(call(900 + len(gateway.clients.connections)))
+    answer = bulk(b"v")
+    assert await raw.read(len(answer)) == answer
+    return raw
+
+
+def server() -> FakeServer:
+    return FakeServer(lambda words: array(b"v"))
+
+
+CLOSES = {
+    "stop": lambda clients: clients.stop_listening(),
+    "drain": lambda clients: clients.admit(Admit(False, 0.0)),
+    "fewer connections": lambda clients: clients.retell(SETTINGS, 1),
+}
+
+
+@pytest.mark.parametrize("why", CLOSES)
+@pytest.mark.parametrize("kind", ["read", "post", "buy"])
+def test_request_written_in_the_instant_of_a_close_is_served_and_the_end_comes_behind_its_answer(why, kind):
+    async def test():
+        async with node(server()) as gateway:
+            raw, _ = await used(gateway), await used(gateway)
+            raw.send(call(1, kind))
+            CLOSES[why](gateway.clients)
+            answer = bulk(b"v")
+            assert await raw.read(len(answer)) == answer
+            if why != "fewer connections":
+                assert await raw.rest() == (b"", "end")
+
+    run(test())
+
+
+def test_connection_in_the_listeners_queue_at_the_stop_is_served():
+    async def test():
+        async with node(server()) as gateway:
+            raws = [Raw(port(gateway)) for _ in range(5)]
+            for number, raw in enumerate(raws):
+                raw.send(call(number))
+            gateway.clients.stop_listening()  # before the loop could accept any of them
+            for raw in raws:
+                assert await raw.rest() == (bulk(b"v"), "end")
+
+    run(test())
+
+
+def test_new_connection_without_a_request_at_the_stop_may_still_send_it_for_a_moment(monkeypatch):
+    monkeypatch.setattr(module, "LATE_S", 3600.0)
+
+    async def test():
+        async with node(server()) as gateway:
+            raw = Raw(port(gateway))
+            gateway.clients.stop_listening()
+            await until(lambda: len(gateway.clients.connections) == 1)
+            raw.send(call(1))
+            assert await raw.rest() == (bulk(b"v"), "end")
+
+    run(test())
+
+
+def test_half_a_command_at_the_stop_is_served_if_its_rest_comes_soon(monkeypatch):
+    monkeypatch.setattr(module, "LATE_S", 3600.0)
+
+    async def test():
+        async with node(server()) as gateway:
+            raw, command = await used(gateway), call(1)
+            raw.send(command[:20])
+            await until(lambda: any(client.lengths.within() for client in gateway.clients.connections))
+            gateway.clients.stop_listening()
+            raw.send(command[20:])
+            assert await raw.rest() == (bulk(b"v"), "end")
+
+    run(test())
+
+
+@pytest.mark.parametrize("parts", [1, 0])
+def test_command_whose_rest_comes_after_the_last_moment_of_the_stop_is_never_sent_on(monkeypatch, parts):
+    monkeypatch.setattr(module, "LATE_S", 0.0)
+    monkeypatch.setattr(module, "LINGER_S", 3600.0)
+
+    async def test():
+        fake = server()
+        async with node(fake) as gateway:
+            raw, command = await used(gateway), call(1)
+            served = len(fake.commands)
+            raw.send(command[:20 * parts])
+            (client,) = gateway.clients.connections
+            await until(lambda: client.lengths.within() == bool(parts))
+            gateway.clients.stop_listening()
+            assert await raw.rest() == (b"", "end")
+            raw.send(command[20 * parts:], call(2))  # it crosses the end that the gateway has sent
+            await until(lambda: client.thrown >= len(command) - 20 * parts)
+            raw.sock.close()
+            await until(lambda: not gateway.clients.lingering)
+            assert len(fake.commands) == served and not gateway.driver.calls
+
+    run(test())
+
+
+@pytest.mark.parametrize("behind", [b"*4\r\n$8\r\nCALL", b"junk\r\n" * 20])
+def test_answer_that_the_client_has_not_taken_survives_bytes_that_cross_the_close(behind):
+    value = bytes(60_000)
+
+    async def test():
+        async with node(FakeServer(lambda words: array(value))) as gateway:
+            raw = Raw(port(gateway), room=2048)
+            raw.send(call(1))
+            await until(lambda: gateway.driver.figures.asked and not gateway.driver.calls)
+            raw.send(behind)
+            gateway.clients.stop_listening()
+            data, end = await raw.rest()
+            assert data.startswith(bulk(value)) and end == "end"
+
+    run(test())
+
+
+def test_new_connection_beyond_the_limit_gets_its_error_although_its_request_is_there():
+    async def test():
+        async with node(FakeServer(lambda words: None), most_connections=1) as gateway:
+            busy = Raw(port(gateway))
+            busy.send(call(1))
+            await until(lambda: len(gateway.driver.calls) == 1)
+            raw = Raw(port(gateway))
+            raw.send(call(2))
+            assert await raw.rest() == (BUSY, "end")
+            assert list(gateway.driver.calls) == [f"{1:016x}"]
+
+    run(test())
+
+
+def test_connection_with_a_request_unread_is_not_pushed_out_by_a_new_one():
+    async def test():
+        async with node(server()) as gateway:
+            raw, newest = await used(gateway), await used(gateway)
+            gateway.clients.most_connections = 1
+            raw.send(call(1))
+            gateway.clients.opened(list(gateway.clients.connections)[-1])
+            answer = bulk(b"v")
+            assert await raw.read(len(answer)) == answer
+            assert await newest.rest() == (BUSY, "end")
+
+    run(test())
+
+
+def test_connections_that_linger_are_bounded(monkeypatch):
+    monkeypatch.setattr(module, "LINGER_S", 3600.0)
+    monkeypatch.setattr(module, "MOST_LINGERING", 2)
+
+    async def test():
+        async with node(FakeServer(lambda words: None), most_connections=1) as gateway:
+            busy = Raw(port(gateway))
+            busy.send(call(1))
+            await until(lambda: len(gateway.driver.calls) == 1)
+            raws = []
+            for _ in range(6):
+                raws.append(Raw(port(gateway)))
+                assert await raws[-1].read(len(BUSY)) == BUSY
+            await until(lambda: len(gateway.clients.lingering) == 2)
+            assert len(gateway.clients.connections) == 1
+
+    run(test())
+
+
+def test_what_is_thrown_away_behind_a_close_is_bounded(monkeypatch):
+    monkeypatch.setattr(module, "LINGER_S", 3600.0)
+
+    async def test():
+        async with node(server()) as gateway:
+            raw = Raw(port(gateway))
+            raw.send(b"junk\r\n")
+            await until(lambda: bool(gateway.clients.lingering))
+            with pytest.raises(OSError):
+                while True:
+                    raw.send(bytes(65536))
+                    await asyncio.sleep(0)
+            await until(lambda: not gateway.clients.lingering)
+
+    run(test())
+
+
+@pytest.mark.parametrize("more", [
+    [call(number) for number in range(MOST_PIPELINED, 200)],
+    [call(number, "buy", body=bytes(60_000)) for number in range(MOST_PIPELINED, MOST_PIPELINED + 4)],
+], ids=["many", "long"])
+def test_client_that_leaves_with_as_many_in_hand_as_may_be_is_noticed(more):
+    async def test():
+        fake = FakeServer(lambda words: None)
+        async with node(fake) as gateway:
+            raw = Raw(port(gateway))
+            raw.send(*(call(number) for number in range(MOST_PIPELINED)), *more)
+            await fake.until(lambda: len(fake.commands) == MOST_PIPELINED)
+            raw.sock.close()
+            await until(lambda: not gateway.clients.connections)
+            assert not gateway.driver.calls and gateway.driver.figures.gone == MOST_PIPELINED
+            assert len(fake.commands) == MOST_PIPELINED
+
+    run(test())
+
+
+def test_broken_peer_gets_its_error_whatever_it_sends_behind_it():
+    async def test():
+        async with node(server()) as gateway:
+            raw = Raw(port(gateway))
+            raw.send(resp("PING"), b"junk\r\n", bytes(200_000))
+            data, end = await raw.rest()
+            assert data == b"+PONG\r\n-ERR Protocol error\r\n" and end == "end"
+
+    run(test())
+
+
+def test_client_of_a_broken_command_that_leaves_while_the_one_before_it_is_in_hand_is_noticed():
+    async def test():
+        fake = FakeServer(lambda words: None)
+        async with node(fake) as gateway:
+            raw = Raw(port(gateway))
+            raw.send(call(1), b"junk\r\n")
+            await fake.until(lambda: len(fake.commands) == 1)
+            raw.sock.close()
+            await until(lambda: not gateway.clients.connections)
+            assert not gateway.driver.calls and gateway.driver.figures.gone == 1
+
+    run(test())
