One check before a first byte: server ready, client there, time left, window of a key open

Cause: a second attempt whose connection came up after the first one had answered was written all the same, as only the server's readiness was looked at (`Connection.connection_made`). By reading, then forced: the same for a client that had left (where the settings allow no cancel), for a time that had run out, and for a keyed request whose window had ended during the handshake. A socket whose transport could not be made stayed open. What was stopped before its last byte was told as timed out.

Change: an attempt's command is asked for as its first byte could go out, and may be None by then; the decisions tell with `Send` how long a repeat is harmless (`begin_within_ms`), and what has not been written by then is given up. What never went out for such a reason is told as not sent: its server is not blamed.

--- a/brackenloft/interface/actions.py
+++ b/brackenloft/interface/actions.py
@@ -10,10 +10,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Send(OfRequest):
-    """Start an attempt. ``timeout_ms`` of 0: as long as the client waits. Attempts count from 0."""
+    """Start an attempt. ``timeout_ms`` of 0: as long as the client waits. Attempts count from 0.
+
+    ``begin_within_ms`` above 0: an earlier attempt may have run, and a repeat is harmless only if it has
+    arrived within this time; it is given up if it has not been written by then.
+    """
 
     server: int
     timeout_ms: float = 0.0
+    begin_within_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -19,6 +19,7 @@
 
 log = logging.getLogger(__name__)
 
+WAY_MS = 10.0  # kept of the time in which a last byte may arrive: its way, and a loop that is late
 CLIENT_MARGIN_MS = 10.0  # kept of a client's wait: the way here and back, and a loop that is late
 
 
@@ -143,6 +144,7 @@
         wait = call.deadline - now
         if action.timeout_ms:
             wait = min(wait, action.timeout_ms)
+        ends, latest = now + wait, now + action.begin_within_ms - WAY_MS if action.begin_within_ms else inf
         if call.answered or wait <= 0.0:
             self._outcome(call, number, action.server, now, Reply(api.Status.NOT_SENT))
             return
@@ -151,14 +153,21 @@
             call.out.pop(number, None)
             self._outcome(call, number, action.server, now, reply)
 
+        def payload() -> bytes | None:
+            """The command, while the client waits, time is left and the attempt is still safe."""
+            moment = self.clock()
+            return None if call.answered or moment >= min(ends, latest) else call.encode(ends - moment)
+
         def begun(length: int, source: Source) -> Sink | None:
             return self._begin(call, number, action.server, now, length, source)
 
-        attempt = Attempt(call.encode(wait), done, begun)
+        attempt = Attempt(payload, done, begun)
         call.out[number] = attempt
         self.servers.start(action.server, attempt)
         if number in call.out:
-            self._at(now + wait, self._time_out, (call, attempt))
+            self._at(ends, self._time_out, (call, attempt))
+            if latest < ends:
+                self._at(latest, self.servers.stop_unsent, attempt)
 
     def _time_out(self, which: tuple[Call, Attempt]) -> None:
         call, attempt = which
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -72,12 +72,13 @@
 class Attempt:
     """A command on its way to a server; ``done`` is called once with what came of it.
 
+    ``payload`` is asked for as the first byte could go out: None if by then it may not go any more.
     ``begun`` is called when a long value begins, with its length; it says where that goes, if anywhere.
     """
 
     __slots__ = ("payload", "done", "begun", "connection")
 
-    def __init__(self, payload: bytes, done: Callable[[Reply], None],
+    def __init__(self, payload: Callable[[], bytes | None], done: Callable[[Reply], None],
                  begun: Callable[[int, Source], Sink | None] = lambda length, source: None) -> None:
         self.payload, self.begun = payload, begun
         self.done: Callable[[Reply], None] | None = done
@@ -192,7 +193,7 @@
         except (OSError, TimeoutError):  # out of descriptors is an OSError too: an outcome, not a crash
             self.close(api.Status.CONNECT_FAILED)
         finally:
-            if sock and self.socket is None:
+            if sock and self.transport is None:
                 sock.close()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -204,24 +205,31 @@
             self.servers.give_back(self)
         elif self.closed or self.attempt is None:
             self.transport.abort()
-        elif self.epoch != self.host.epoch or not self.host.ready:
-            # Guards against a first byte to a server that began to drain, left or moved meanwhile.
-            self.close(api.Status.CONNECT_FAILED)
         else:
-            self._write(self.attempt.payload)
+            self._begin_attempt(self.attempt)
 
     # ---- An attempt
 
     def send(self, attempt: Attempt) -> None:
         """Send on an idle connection."""
         self.attempt, attempt.connection = attempt, self
-        self._write(attempt.payload)
+        self._begin_attempt(attempt)
+
+    def _begin_attempt(self, attempt: Attempt) -> None:
+        """The one check before a first byte goes out.
 
-    def _write(self, payload: bytes) -> None:
+        Guards against one to a server that began to drain, left or moved while it was connected to; and
+        against one that nobody waits for any more, that comes too late, or that may run a second time.
+        """
         assert self.transport is not None
         self.handed = False
-        self.transport.write(payload)
-        self.handed = self.transport.get_write_buffer_size() == 0
+        if self.epoch != self.host.epoch or not self.host.ready:
+            self.close(api.Status.CONNECT_FAILED)
+        elif (payload := attempt.payload()) is None:
+            self.close(api.Status.NOT_SENT)  # nothing that the server is to blame for
+        else:
+            self.transport.write(payload)
+            self.handed = self.transport.get_write_buffer_size() == 0
 
     def resume_writing(self) -> None:
         self.handed = True
@@ -361,7 +369,7 @@
             self.servers.forget(self)
             if self.socket is None and self.task:
                 self.task.cancel()
-            elif self.transport:
+            if self.transport:
                 with suppress(OSError):
                     if self.socket:
                         self.socket.shutdown(socket.SHUT_RDWR)
@@ -503,10 +511,17 @@
                 f"to {len(self.hosts)} servers; {counts}")
 
     def stop(self, attempt: Attempt, status: api.Status) -> None:
-        """Stop waiting: the connection is closed, then the outcome told. One not up yet never ran."""
+        """Stop waiting: the connection is closed, then the outcome told. Without its last byte it never
+        ran."""
         connection = attempt.connection
         if attempt.done and connection:
-            connection.close(status if connection.transport else api.Status.CONNECT_FAILED)
+            connection.close(status if connection.handed else api.Status.CONNECT_FAILED)
+
+    def stop_unsent(self, attempt: Attempt) -> None:
+        """The same where its last byte has not gone out; one that is on its way is waited for."""
+        connection = attempt.connection
+        if attempt.done and connection and not connection.handed:
+            connection.close(api.Status.CONNECT_FAILED)
 
     def close_idle(self, server: int) -> None:
         """Close the idle connections to a server."""
@@ -558,7 +573,9 @@
             await self.loop.create_connection(lambda: connection, sock=sock)
         except OSError:
             connection.close(api.Status.RESET)
-            sock.close()
+        finally:
+            if connection.transport is None:
+                sock.close()
 
     def forget(self, connection: Connection) -> None:
         """A connection that is closing counts no more."""
--- a/brackenloft/policy/resend.py
+++ b/brackenloft/policy/resend.py
@@ -1,19 +1,28 @@
 """What may be sent again, by its class: where to, and what a client may be told of it. Owns nothing."""
 
+from math import inf
+
 from brackenloft.interface import Effect, KeyScope
 from brackenloft.tables import Flight, Group
 
 EVERYWHERE: Group = ()
 
 
+def window(flight: Flight, now: float) -> float:
+    """Milliseconds in which a further attempt has to arrive; nought or less: it may not be sent any more."""
+    if flight.maybe_ran is None or flight.kind.effect is Effect.SAFE:
+        return inf
+    sent = flight.maybe_ran[1]
+    return sent + flight.kind.key_memory_ms - now if flight.kind.effect is Effect.KEYED else 0.0
+
+
 def group(flight: Flight, now: float) -> Group | None:
     """The servers that the request may go to at this time (ms), by what may have run already; None: none."""
     if flight.maybe_ran is None or flight.kind.effect is Effect.SAFE:
         return EVERYWHERE
-    first, sent = flight.maybe_ran
-    if flight.kind.effect is Effect.UNSAFE or now - sent >= flight.kind.key_memory_ms:
+    if window(flight, now) <= 0.0:
         return None
-    scope = flight.kind.key_scope
+    first, scope = flight.maybe_ran[0], flight.kind.key_scope
     if scope is KeyScope.ALL:
         return EVERYWHERE
     return (first.zone,) if scope is KeyScope.ZONE else (first.zone, first.cell)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -27,6 +27,7 @@
     Status,
     TimerFired,
 )
+from brackenloft.net import servers
 
 CLASSES = (
     RequestClass("safe", 2000.0, 4000.0, Effect.SAFE, worth=1.0),
@@ -109,6 +110,12 @@
     return ServerEntry(number, zone, **more)
 
 
+@pytest.fixture
+def no_rest(monkeypatch) -> None:
+    """Connections to servers may be used again as soon as their answer has come."""
+    monkeypatch.setattr(servers, "REST_S", 0.0, raising=False)
+
+
 @pytest.fixture
 def rig() -> Rig:
     made = Rig()
