A connection to a server rests 10 ms behind an answer, and is not used behind a broken one

Need: a server may answer twice, the second time some milliseconds later. Behind the next command on that connection it was taken for that command's answer, which no server made for it. A malformed answer that parses (+OK, a null, a number) left its connection in the pool.

Change: of the idle connections the one used last that has been quiet for 10 ms is taken, else a new one; whatever comes meanwhile ends the connection. A malformed answer closes it.

--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -31,6 +31,7 @@
 MOST_HELD = 8 * 1024 * 1024  # bytes of long values on their way, over all
 SILENT_S = 15.0  # a server that gives nothing of a value that it has begun for so long is gone
 SWEEP_S = 1.0  # between two looks at idle connections
+REST_S = 0.01  # after an answer before the next command: a second one may come some milliseconds behind it
 Address = tuple[str, int]
 
 
@@ -47,6 +48,7 @@
     used: float | None = None
     cost: float | None = None
     load: tuple[float, ...] | None = None
+    broken: bool = False  # no answer of the protocol: the connection is of no further use
 
 
 class Sink(Protocol):
@@ -115,7 +117,7 @@
             return self._error(str(answer))
         if not isinstance(answer, list) or not answer or not isinstance(answer[0], bytes):
             log.warning("malformed answer: %.100r", answer)
-            return Reply(api.Status.ERROR)
+            return Reply(api.Status.ERROR, broken=True)
         reply = Reply(api.Status.OK, answer[0])
         for figures in answer[1:]:
             if isinstance(figures, bytes):
@@ -333,12 +335,13 @@
         if self.silent:
             self.silent.cancel()
         attempt, self.attempt = self.attempt, None
-        if attempt is None or more or answer is False:
+        reply = self.servers.readings.reply(answer) if attempt else None
+        if reply is None or more or answer is False or reply.broken:
             self.close(api.Status.RESET)  # bytes that answer nothing: what follows can't be told apart
         else:
             self.servers.give_back(self)
-        if attempt:
-            attempt.finish(self.servers.readings.reply(answer))
+        if attempt and reply:
+            attempt.finish(reply)
 
     def alive(self) -> bool:
         """Whether the server has not closed it, or written out of turn, while it was idle.
@@ -468,9 +471,9 @@
         if host is None or not host.ready:
             attempt.finish(Reply(api.Status.CONNECT_FAILED))
             return
-        while host.idle:
-            connection = host.idle.pop()
+        while connection := self._rested(host):
             if connection.alive():
+                host.idle.remove(connection)
                 connection.send(attempt)
                 self.reuses += 1
                 self._tell(host)
@@ -478,6 +481,15 @@
             connection.close(api.Status.RESET)
         self._connect(host, attempt)
 
+    def _rested(self, host: Host) -> Connection | None:
+        """The idle connection used last, of those that have been quiet for a moment since their answer.
+
+        Guards against an answer that comes twice: behind the next command the second one would be taken for
+        that command's. While the connection is idle, whatever comes ends it.
+        """
+        before = self.loop.time() - REST_S
+        return next((one for one in reversed(host.idle) if one.idle_since <= before), None)
+
     def _connect(self, host: Host, attempt: Attempt) -> None:
         full = len(self.connections) + self.elsewhere >= self.most_connections
         if full and not self._evict():
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -9,7 +9,8 @@
 from test_net_driver import Script, scripted
 from test_net_servers import Ends
 
-from brackenloft import KeyScope, Limits, ListKind, Send, ServerState, Status
+from brackenloft import Effect, KeyScope, Limits, ListKind, Send, ServerState, Status
+from brackenloft.net import servers as module
 
 KINDS = ["read", "post", "buy"]
 FREE = Limits(max_attempts=3, can_cancel=True, connect_timeout_ms=60_000.0)
@@ -144,6 +145,7 @@
     run(test())
 
 
+@pytest.mark.usefixtures("no_rest")
 @pytest.mark.usefixtures("no_rest")
 def test_second_attempt_that_comes_up_after_the_answer_is_not_sent():
     async def test():
@@ -195,3 +197,91 @@
             assert not gateway.servers.connections
 
     run(test())
+
+
+# ---- Answers
+
+def test_second_answer_that_comes_behind_the_next_command_is_not_taken_for_its_answer(monkeypatch):
+    monkeypatch.setattr(module, "REST_S", 3600.0, raising=False)
+
+    async def test():
+        def answer(words):
+            if words[2].endswith(b"2"):
+                fake.writers[0].write(array(b"of the first, once more"))
+            return array(words[2])
+
+        fake = FakeServer(answer)
+        async with node(fake) as gateway:
+            peer = await gateway.peer()
+            assert await peer.ask(call(1)) == b"%016x" % 1
+            assert await peer.ask(call(2)) == b"%016x" % 2
+            await fake.until(lambda: fake.ended == 1)  # what came out of turn has ended its connection
+            assert await peer.ask(call(3)) == b"%016x" % 3
+
+    run(test())
+
+
+def test_connection_that_has_rested_is_used_again_before_an_older_one(monkeypatch):
+    monkeypatch.setattr(module, "REST_S", 0.0, raising=False)
+
+    async def test():
+        fake = FakeServer()
+        async with node(fake) as gateway:
+            peer = await gateway.peer()
+            for number in range(4):
+                assert await peer.ask(call(number)) == b"%016x" % number
+            assert fake.by == [0, 0, 0, 0]
+
+    run(test())
+
+
+@pytest.mark.parametrize("broken", [
+    b"+OK\r\n", b"$1\r\nv\r\n", b"*0\r\n", b"*1\r\n:5\r\n", b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", array(b"v") * 2,
+    array(b"v") + b"*3\r\n$1", b"+half a li", b"*3\r\n$1\r\nv\r\n$",
+])
+def test_connection_of_a_broken_answer_is_never_used_again(monkeypatch, broken):
+    monkeypatch.setattr(module, "REST_S", 0.0, raising=False)
+
+    async def test():
+        answers = iter([broken])
+        fake = FakeServer(lambda words: next(answers, array(words[2])))
+        async with node(fake) as gateway:
+            peer = await gateway.peer()
+            if b"ha" in broken or broken.endswith(b"v\r\n$"):  # it never ends: its client leaves
+                peer.send(call(1))
+                await fake.until(lambda: len(fake.commands) == 1)
+                peer.writer.close()
+                await fake.until(lambda: fake.ended == 1)
+                peer = await gateway.peer()
+            else:
+                await peer.ask(call(1))
+            assert await peer.ask(call(2)) == b"%016x" % 2
+            assert fake.by[-1] > 0
+
+    run(test())
+
+
+@pytest.mark.parametrize("breaks", [b"", array(b"v")[:-3], b"*3\r\n$100\r\nhalf", b"-ERR fail"])
+@pytest.mark.parametrize("kind", KINDS)
+def test_server_that_breaks_off_costs_each_request_one_answer_and_no_unsafe_one_runs_twice(kind, breaks):
+    async def test():
+        def answer(words):
+            if breaks:
+                bad.writers[bad.by[-1]].write(breaks)
+            return b""
+
+        bad, good = FakeServer(answer), FakeServer()
+        async with node(bad, good) as gateway:
+            peer = await gateway.peer()
+            for number in range(12):
+                reply = await peer.ask(call(number, kind))
+                ran_at_bad = any(int(words[2], 16) == number for words in bad.commands)
+                assert reply == (b"%016x" % number if kind != "buy" or not ran_at_bad else "-ERR failed")
+            sent = [words[2] for words in bad.commands + good.commands]
+            assert bad.commands and (kind != "buy" or len(sent) == len(set(sent)) == 12)
+
+    run(test())
+
+
+def test_effects_of_the_table_are_all_there():
+    assert {item.effect for item in SETTINGS.classes} == set(Effect)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -155,6 +155,7 @@
     return await FakeServer(lambda words: None if words[2].endswith(b"1") else array(words[2])).start()
 
 
+@pytest.mark.usefixtures("no_rest")
 def test_idle_connections_of_both_sides_are_the_next_processs_and_busy_ones_follow(tmp_path):
     async def test():
         server = await silent_on_one()
--- a/tests/test_long_values.py
+++ b/tests/test_long_values.py
@@ -41,6 +41,7 @@
     assert long_value(head) == found
 
 
+@pytest.mark.usefixtures("no_rest")
 @pytest.mark.parametrize("piece", [7, 1000, 65_536, LENGTH * 2])
 def test_long_value_arrives_whole_in_pieces_of_any_size_and_the_connections_live_on(piece):
     async def test():
