Watches on discovery are back in time and one by one; indented lists and lists that break off

Need: what an ended or silent watch misses counts as told 6 s later, where lists are pushed at once. Seen by reading, then forced: a watch that was reset waited for a back-off shared by the fleet (5 to 10 s with 200 gateways), also where lists come from the machine's own agent; one of a shared discovery that fell silent waited so as well. An indented list was malformed at its first line, again and again. A list without a line's end behind it was not taken.

Change: where lists are pushed the back-off is 0.05 to 0.25 s, whatever the fleet. Where they are asked for, a watch is found silent after 3.15 to 4.5 s, drawn for each, and opened at once; behind one that was reset the first try is drawn from 4 s; only after a failure does the shared back-off begin. An object may stand on several lines, and is looked at as it begins and where it may end. An answer's end takes what is whole; a reset is no end.

--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -18,9 +18,13 @@
 
 log = logging.getLogger(__name__)
 
-SILENT_S = 4.5  # an empty line comes every 2 s: two are missing. News counts as told after 6 s in any case
+SILENT_S = 4.5  # at most: an empty line comes every 2 s, what a silent watch misses counts as told after 6 s
+SILENT_SPREAD = 0.3  # of it, drawn at random: gateways whose watches fell silent at once come back one by one
 BACKOFF_S = (0.05, 2.0)  # before another watch, first and at most, of which half is drawn at random
+AGENT_S = 0.25  # the same at most where lists are pushed: the machine's own agent answers this gateway alone
 SHARED_S = (0.05, 0.2)  # the same for each gateway: all of them share what discovery can answer
+FIRST_S = 4.0  # before the first one, at most: what an ended watch misses counts as told 6 s after a change
+MOST_DOUBLED = 16  # times that a back-off is doubled
 CONNECT_S = 1.0
 SILENT = "silent"  # why a watch ended
 LONGEST_LINE = 4 * 1024 * 1024
@@ -105,6 +109,7 @@
     def __init__(self, discovery: Discovery, target: str) -> None:
         self.discovery, self.target = discovery, target
         self.parser = httptools.HttpResponseParser(self)
+        self.text = bytearray()  # of an object that is not whole yet
         self.line = bytearray()
         self.transport: asyncio.Transport | None = None
         self.silent: asyncio.TimerHandle | None = None
@@ -122,12 +127,16 @@
     def _heard(self) -> None:
         """Guards against a watch that has died without a word: no line for several beats ends it.
 
-        A whole line counts, not any byte: one that never ends tells nothing either.
+        An empty line or a whole object counts, not any byte: one that never ends tells nothing either.
         """
         if self.silent:
             self.silent.cancel()
         loop = asyncio.get_running_loop()
-        self.silent = loop.call_later(SILENT_S, self._close, SILENT)
+        self.silent = loop.call_later(self.discovery.silent_s(), self._close, SILENT)
+
+    def _alive(self) -> None:
+        self.discovery.failures = 0
+        self._heard()
 
     def _close(self, why: str) -> None:
         if not self.why:
@@ -153,24 +162,65 @@
             self._close(f"status {status}")
 
     def on_body(self, body: bytes) -> None:
+        """Bytes of lists: an object may stand on one line, or on several."""
         *lines, rest = (bytes(self.line) + body).split(b"\n")
         self.line = bytearray(rest)
-        if lines:
-            self._heard()
         for line in lines:
+            if not line.strip() and not self.text:
+                self._alive()
+            elif line.strip():
+                self.text += line + b"\n"
+                self._take_whole(line.rstrip().endswith((b"}", b"]")))
+            else:
+                self.malformed("an object that breaks off")
             if self.why:
                 return  # what stands behind a line that was lost must not count as all that has come
-            if line.strip() and self.parser.get_status_code() == 200:
-                self.discovery.take(line, self)
-        if len(self.line) > LONGEST_LINE:
+        if len(self.text) + len(self.line) > LONGEST_LINE:
             self._close("a line without end")
 
+    def _take_whole(self, may_end: bool) -> None:
+        """Take over the object, if it is whole; one that can't become whole is malformed.
+
+        It is looked at as it begins, and where it may end: at each line it would cost the square of a list.
+        """
+        if not may_end and self.text.count(b"\n") > 1:
+            return
+        try:
+            text = self.text.decode()
+            document = json.loads(text)
+        except json.JSONDecodeError as error:
+            if error.pos < len(text.rstrip()):
+                self.malformed(str(error))
+        except ValueError as error:
+            self.malformed(str(error))
+        else:
+            self.text.clear()
+            self._alive()
+            self.discovery.take(document, self)
+
+    def _end(self) -> None:
+        """The answer has ended in order: what stands behind its last line's end is whole, or nothing."""
+        if not self.why and (self.text or self.line.strip()):
+            self.text += self.line
+            self.line.clear()
+            self._take_whole(True)
+
     def on_message_complete(self) -> None:
+        self._end()
         self._close("the answer is complete")
 
-    def malformed(self) -> None:
-        """A line that could not be read: what it told is missing, so all of it is asked for again."""
-        self._close("malformed line")
+    def eof_received(self) -> None:
+        """Only this ends an answer without a length; a reset does not."""
+        if self.parser.get_status_code() == 200:
+            self._end()
+
+    def malformed(self, why: str) -> None:
+        """What can't be read is lost, so all of it is asked for again."""
+        if self.why:
+            return
+        log.error("malformed list from discovery: %s", why)
+        self.discovery.roster.generation = None
+        self._close("malformed list")
 
     def connection_lost(self, exc: Exception | None) -> None:
         if self.silent:
@@ -188,7 +238,7 @@
         self.retell(gateways, mode)
         self.random = random.Random(seed)
         self.roster = Roster()
-        self.backoff_s = self.shortest_s
+        self.failures = 0  # watches in a row that told nothing
         self.watch: Watch | None = None
         self.moved = asyncio.Event()  # to another address: what waits, waits no longer
 
@@ -196,13 +246,15 @@
         """So many gateways share discovery from now on; or each has an agent that lists are pushed to."""
         self.pushed = mode is api.DiscoveryMode.PUSH
         self.shortest_s, self.longest_s = map(max, BACKOFF_S, (gateways * share for share in SHARED_S))
+        if self.pushed:
+            self.shortest_s, self.longest_s = BACKOFF_S[0], AGENT_S
 
     def move(self, address: Address) -> None:
         """Watch at another address from now on, from where the watch at the old one was."""
         if address == self.address:
             return
         log.info("discovery moves to %s:%d", *address)
-        self.address, self.backoff_s = address, self.shortest_s
+        self.address, self.failures = address, 0
         self.moved.set()
         if self.watch:
             self.watch.end("moved")
@@ -214,16 +266,13 @@
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             log.error("malformed known list: %r", error)
 
-    def take(self, line: bytes, watch: Watch) -> None:
-        """One line of the watch; a malformed one is logged and the whole list asked for."""
+    def take(self, document: Any, watch: Watch) -> None:
+        """One object of the watch; a malformed one is logged and the whole list asked for."""
         try:
-            news = self.roster.read(json.loads(line))
+            news = self.roster.read(document)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
-            log.error("malformed line from discovery: %r", error)
-            self.roster.generation = None
-            watch.malformed()
+            watch.malformed(repr(error))
             return
-        self.backoff_s = self.shortest_s
         self.news(*news)
 
     async def run(self) -> None:
@@ -244,21 +293,31 @@
             with suppress(TimeoutError):
                 await asyncio.wait_for(self.moved.wait(), self.pause_s(silent))
                 continue
-            self.backoff_s = min(self.longest_s, self.backoff_s * 2.0)
+            self.failures += 1
+
+    def silent_s(self) -> float:
+        """How long a watch may be silent."""
+        return SILENT_S * (1.0 - SILENT_SPREAD * self.random.random())
 
     def pause_s(self, silent: bool = False) -> float:
         """Before another watch.
 
-        One that fell silent has lasted for a while. Where lists are pushed, what the machine's agent has
-        counts as told whether or not a watch is open, and it says nothing while discovery is down: a watch
-        has to be open as it speaks again, and costs nobody else anything.
+        Where lists are pushed, what the machine's agent has counts as told whether or not a watch is open,
+        and it says nothing while discovery is down: a watch has to be open as it speaks again, and costs
+        nobody else anything. Where lists are asked for, what a watch misses counts as told seconds after it
+        ended: the first one behind it is in time for that, its moment drawn from all the time there is; one
+        that fell silent has drawn it already.
 
-        Guards against gateways that lost theirs at once and come back at once, and against a discovery
-        that is kept overbooked by their calls alone: the more gateways, the rarer each one's.
+        Guards against gateways that lost theirs at once and come back at once, and against a discovery that
+        is kept overbooked by their calls alone: the more gateways, the rarer each one's.
         """
-        if silent and self.pushed:
-            return BACKOFF_S[0]
-        return self.backoff_s * (1.0 - 0.5 * self.random.random())
+        backoff = min(self.longest_s, self.shortest_s * 2.0 ** min(self.failures, MOST_DOUBLED))
+        if self.failures == 0 and not self.pushed:
+            if silent:
+                return BACKOFF_S[0]
+            if backoff > FIRST_S:
+                return FIRST_S * self.random.random()
+        return backoff * (1.0 - 0.5 * self.random.random())
 
     def _watch(self) -> Watch:
         generation = self.roster.generation
