A connection to a server that ends as it comes up no longer has its descriptor closed twice

Seen: a run of the new tests ended with "Fatal Python error: Aborted" in libuv, another with a client's connection closed under a request in hand; both once in some twenty runs.

Cause: `connection_made` closed a connection whose server had begun to drain, left or moved during the handshake (or whose attempt had been stopped). The loop takes a socket's object over only as `create_connection` returns; closed before, its transport closed the descriptor and the object closed the same number again as it was collected: by then another connection's, a client's with requests taken on it, or one that the loop still polls. Ruled out: the tests' own sockets, cancelled tasks (the loop lets go of those itself).

Change: nothing is closed from within `connection_made`; an attempt begins once the transport has the descriptor, and an object whose transport has ended lets go of it. Connections passed on by the process before go the same way.

One test of hand-overs waits for the connection that was passed on to be there.

--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -175,7 +175,6 @@
         self.handed = False  # the attempt's last byte to the kernel
         self.idle_since, self.unread = 0.0, 0
         self.closed = False
-        self.adopted = False  # it came up in the process before this one
         if attempt:
             attempt.connection = self
 
@@ -191,24 +190,45 @@
             async with asyncio.timeout(self.servers.connect_timeout_s):
                 await loop.sock_connect(sock, self.host.address)
             self.socket = sock
-            await loop.create_connection(lambda: self, sock=sock)
         except (OSError, TimeoutError):  # out of descriptors is an OSError too: an outcome, not a crash
             self.close(api.Status.CONNECT_FAILED)
         finally:
-            if sock and self.transport is None:
+            if sock and self.socket is None:
                 sock.close()
+        if self.socket:
+            await self.come_up(self.socket)
+
+    async def come_up(self, sock: socket.socket) -> None:
+        """Make the transport of a socket that is connected, then go on.
+
+        Guards against a descriptor that is closed twice, the second time as another connection's: the loop
+        closes a transport's descriptor by itself, but tells the socket's object so only once it has taken
+        that over, which is as ``create_connection`` returns. So nothing is closed from within
+        ``connection_made``, and an object whose transport was closed before that lets go of its descriptor.
+        """
+        try:
+            await self.servers.loop.create_connection(lambda: self, sock=sock)
+        except (OSError, RuntimeError):  # RuntimeError: closed as it came up
+            self.close(api.Status.CONNECT_FAILED)
+        finally:
+            if self.transport is None:
+                sock.close()
+            elif self.transport.is_closing():
+                sock.detach()
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.closed:
+            self.transport.abort()
+        elif self.attempt is None:
+            self.servers.give_back(self)
+        else:
+            self._begin_attempt(self.attempt)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are not asyncio.Transport by class: no isinstance here
         self.transport = cast(asyncio.Transport, transport)
         # With a limit of 0 the loop tells when the last byte has gone to the kernel (resume_writing).
         self.transport.set_write_buffer_limits(0)
-        if self.adopted:
-            self.servers.give_back(self)
-        elif self.closed or self.attempt is None:
-            self.transport.abort()
-        else:
-            self._begin_attempt(self.attempt)
 
     # ---- An attempt
 
@@ -579,15 +599,9 @@
             sock.close()
             return
         connection = Connection(self, host, None)
-        connection.adopted, connection.socket = True, sock
+        connection.socket = sock
         self.connections.add(connection)
-        try:
-            await self.loop.create_connection(lambda: connection, sock=sock)
-        except OSError:
-            connection.close(api.Status.RESET)
-        finally:
-            if connection.transport is None:
-                sock.close()
+        await connection.come_up(sock)
 
     def forget(self, connection: Connection) -> None:
         """A connection that is closing counts no more."""
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -84,6 +84,38 @@
             if crossing != "client left":
                 assert (await raw.read(5)) == b"-BUSY"  # it never ran
             assert not fake.commands and gateway.driver.figures.served == 0
+            await let_go(gate)
+
+    run(test())
+
+
+async def let_go(gate: Gate) -> None:
+    """No socket's object holds a descriptor that the loop has closed: it would close it again, as another's.
+    """
+    for _ in range(100):
+        await asyncio.sleep(0)
+    assert [sock.fileno() for sock in gate.sockets] == [-1] * len(gate.sockets)
+
+
+@pytest.mark.parametrize("turns", range(6))
+@pytest.mark.parametrize("crossing", ["drain", "stopped"])
+def test_descriptor_of_a_connection_that_ends_as_it_comes_up_is_closed_once(crossing, turns):
+    async def test():
+        fake = FakeServer()
+        async with node(fake) as gateway:
+            gate, ends = Gate(gateway), Ends()
+            attempt = ends.attempt()
+            gateway.servers.start(1, attempt)
+            await until(lambda: bool(gate.sockets))
+            gate.open.set()
+            for _ in range(turns):  # of the loop, between its connection and its first byte
+                await asyncio.sleep(0)
+            if crossing == "drain":
+                gateway.told(fake.entry(1, state=ServerState.DRAINING), kind=ListKind.CHANGES)
+            gateway.servers.stop(attempt, Status.CANCELLED)
+            assert await ends.status() in (Status.CANCELLED, Status.CONNECT_FAILED)
+            assert not gateway.servers.connections
+            await let_go(gate)
 
     run(test())
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -168,6 +168,7 @@
             old.handover.offer()
             assert await new.handover.take()
             connections = len(server.writers)
+            await until(lambda: any(host.idle for host in new.servers.hosts.values()))
             assert await idle.ask(call(4)) == b"0000000000000004"
             assert len(server.writers) == connections  # nor was the server connected to anew
             assert len(old.clients.connections) == 1 and len(new.clients.connections) == 1
