--- a/brackenloft/policy/attempts.py
+++ b/brackenloft/policy/attempts.py
@@ -1,7 +1,5 @@
 """Attempts: sent, judged when they end or become slow, sent again as class, budget and time allow."""
 
-from math import inf
-
 from brackenloft.interface import Cancel, Effect, Outcome, Send, Status, StreamStarted
 from brackenloft.policy.answers import Answers
 from brackenloft.policy.ceilings import Ceilings
@@ -34,8 +32,7 @@
         number = self.hand.send(flight, server, now)
         self.context.decay.sends += 1
         self.pressure.young.add((request_id, number))
-        left = window(flight, now)
-        self.context.actions.append(Send(request_id, server.id, begin_within_ms=left if left < inf else 0.0))
+        self.context.actions.append(Send(request_id, server.id, begin_within_ms=window(flight, now)))
         self.context.arm(SLOW * flight.kind.aim_ms, self._on_slow, (flight, number))
 
     def may_resend(self, flight: Flight) -> bool:
--- a/brackenloft/policy/meter.py
+++ b/brackenloft/policy/meter.py
@@ -7,8 +7,7 @@
 
 THOUSANDTHS = 1000.0  # of a unit, the unit of the excess
 GROWTH = 0.2  # share of the room that is given out: the meter is late, and all gateways rise on one figure
-THIN_BURST = 2.0  # requests by which an unused thin slice's burst grows: two by chance are no abuse
-COSTLY_BURST = 1.0  # the same where going beyond the quota costs: small requests only, as chance adds up
+THIN_BURST = 2.0, 1.0  # requests by which an unused thin slice's burst grows; where going beyond costs
 NEWS_PERIODS = 4.0  # meter periods a reading stays news: the period, its lateness, a gap in traffic
 
 
@@ -65,7 +64,7 @@
         rate = plan.rate * self.share(customer, now)
         burst = max(plan.burst / customer.width, customer.largest) * THOUSANDTHS
         customer.asked, customer.asked_at = self._drain_asked(customer, plan, now) + units, now
-        grows = COSTLY_BURST if plan.over_cost else THIN_BURST
+        grows = THIN_BURST[plan.over_cost > 0.0]  # by chance two are no abuse, but chance adds up
         if self.thin(customer, plan) and customer.asked <= grows * customer.largest:
             burst *= 1.0 + grows * self._room(customer, now, self._drain_ms(customer, plan))
         excess = max(0.0, customer.excess - rate * (now - customer.touched) + THOUSANDTHS * units)
