The body of a discovery that refuses is no list and no sign of life

Change: of an answer that has been given up nothing is read. Its test fails without it, for 500 and 503.

--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -162,7 +162,9 @@
             self._close(f"status {status}")
 
     def on_body(self, body: bytes) -> None:
-        """Bytes of lists: an object may stand on one line, or on several."""
+        """Bytes of lists: an object may stand on one line, or on several. Of a refusal nothing is taken."""
+        if self.why:
+            return
         *lines, rest = (bytes(self.line) + body).split(b"\n")
         self.line = bytearray(rest)
         for line in lines:
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -379,3 +379,29 @@
             moved.server.close()
 
     run(test())
+
+
+@pytest.mark.parametrize("status", [b"503 Busy", b"500 Odd"])
+def test_body_of_a_refusal_is_no_list_and_no_sign_of_life(status, monkeypatch):
+    monkeypatch.setattr(module, "BACKOFF_S", (0.0, 0.0))
+    monkeypatch.setattr(module, "SHARED_S", (0.0, 0.0))
+    body = b"\n\n" + listing(9, row("s-9", 9), reset=True)
+
+    async def test():
+        news, targets = asyncio.Queue(), []
+
+        async def serve(reader, writer):
+            targets.append((await reader.readuntil(b"\r\n\r\n")).split()[1])
+            writer.write(b"HTTP/1.1 %b\r\nContent-Length: %d\r\n\r\n%b" % (status, len(body), body))
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        discovery = Discovery(server.sockets[0].getsockname(), lambda *told: news.put_nowait(told))
+        discovery.known({"generation": 4, "instances": []})
+        task = asyncio.get_running_loop().create_task(discovery.run())
+        await until(lambda: len(targets) >= 4)
+        assert set(targets) == {b"/discovery/hosts?watch=1&from=4"} and news.qsize() == 1
+        assert discovery.failures >= 3
+        task.cancel()
+        server.close()
+
+    run(test())
