--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -21,7 +21,7 @@
 
 log = logging.getLogger(__name__)
 
-MOST_PIPELINED = 64  # commands of one connection in hand; what comes behind waits in the kernel
+MOST_PIPELINED = 64  # commands of one connection in hand; what comes behind waits, MOST_BEHIND of it read
 READ = 64 * 1024  # bytes read at once
 LONGEST_COMMAND = 192 * 1024  # bytes read without a whole command: a body, one read, and to spare
 MOST_BEHIND = 2 * 1024 * 1024  # bytes read behind as many commands as may be in hand, over all connections
@@ -475,17 +475,19 @@
         elif self.asked and not self.lengths.within() and self.clients.unwanted():
             self.close_idle()
 
+    def _between_commands(self) -> bool:
+        return (self.open() and not self.slots and not self.ending and not self.lengths.within()
+                and not self.out_of_bounds)
+
     def between_requests(self) -> bool:
-        """Whether nothing of a command has come, and nothing of an answer is left."""
+        """Whether nothing of a command has been read, and nothing of an answer is left."""
         transport = self.transport
-        return (transport is not None and not transport.is_closing() and not self.slots and not self.ending
-                and not self.lengths.within() and not self.out_of_bounds
+        return (transport is not None and self._between_commands() and not transport.is_closing()
                 and transport.get_write_buffer_size() == 0)
 
     def idle(self) -> bool:
         """Whether a close crosses nothing that is here already: of no command a part is here, read or not."""
-        return (self.open() and not self.slots and not self.ending and not self.lengths.within()
-                and not self.out_of_bounds and not self.unread())
+        return self._between_commands() and not self.unread()
 
     def at_rest(self) -> bool:
         """Whether it is idle and has been used: a new one has its first command on its way."""
