--- a/brackenloft/lab/referee.py
+++ b/brackenloft/lab/referee.py
@@ -31,7 +31,7 @@
 
 
 class Referee:
-    """Counts breaches by rule: answers, resends, drains, cold servers, ceilings."""
+    """Counts breaches by rule: answers, deadline, resends, drains, cold servers, ceilings."""
 
     def __init__(self, world: World) -> None:
         self.world = world
@@ -90,7 +90,7 @@
         if one.answers > 1:
             self.breach("answers", f"{one.name}: answer {one.answers}")
         if now > one.deadline + SLACK:
-            self.breach("answers", f"{one.name}: {now - one.deadline:.0f} ms late")
+            self.breach("deadline", f"{one.name}: {now - one.deadline:.0f} ms late")
         keyed = one.kind.effect is api.Effect.KEYED and one.kind.key_scope is api.KeyScope.ALL
         if refused and one.copies and one.kind.effect is not api.Effect.SAFE and not keyed:
             self.breach("refusals", f"{one.name} may have run")
--- a/brackenloft/rig/history.py
+++ b/brackenloft/rig/history.py
@@ -44,6 +44,12 @@
     units: float = 1.0
 
 
+class Resent(Record, tag="resent", frozen=True):
+    """The connection ended first, and its client writes the request once more, on a new one."""
+
+    id: str
+
+
 class Answered(Record, tag="answered", frozen=True):
     """What a request came to: ok, busy, error; cut, the connection ended first; none, nothing came until well
     after its time; unheard, nobody took the connection; foreign, a value that is not this request's."""
@@ -119,7 +125,7 @@
     by: float
 
 
-Any = (Header | Asked | Answered | Extra | Arrived | Left | ServerIs | Told | Process | Act | Late)
+Any = (Header | Asked | Resent | Answered | Extra | Arrived | Left | ServerIs | Told | Process | Act | Late)
 
 
 class History:
--- a/brackenloft/rig/judge.py
+++ b/brackenloft/rig/judge.py
@@ -64,7 +64,7 @@
 
     def __init__(self, asked: seen.Asked, kind: api.RequestClass) -> None:
         self.asked = asked
-        self.one = Try(asked.id, kind, asked.t, asked.deadline, asked.units)
+        self.one = Try(f"{asked.id} at {asked.gateway}", kind, asked.t, asked.deadline, asked.units)
         self.out: dict[tuple[str, int], int] = {}  # attempts, by server and number, to the lab's number
         self.arrived = 0
         self.how = ""
@@ -85,6 +85,8 @@
         self.ceilings: dict[str, Store] = {}
         self.faults: dict[str, list[tuple[str, float, float]]] = {}  # by gateway: kind, from, until
         self.open: dict[tuple[int, str], int] = {}
+        self.ended: dict[str, list[float]] = {}  # by gateway: when a process of it ended
+        self.left: list[tuple[Request, float]] = []  # sent on when their client's connection ended, and when
         self.late: list[tuple[float, float]] = []
         self.excused: Counter[str] = Counter()
         self.attempts, self.beyond = 0, 0.0
@@ -92,6 +94,7 @@
             seen.Asked: self._asked, seen.Answered: self._answered, seen.Arrived: self._arrived,
             seen.Left: self._left, seen.Extra: self._extra, seen.Late: self._lateness, seen.Act: self._act,
             seen.Process: self._process, seen.ServerIs: self._server, seen.Told: self._told,
+            seen.Resent: self._resent,
         }
 
     def take(self, record: seen.Any) -> None:
@@ -145,6 +148,8 @@
 
     def _process(self, record: seen.Process) -> None:
         """One that ends with an error has crashed, unless it was made to; one that hung may be ended."""
+        if record.state == "ended":
+            self.ended.setdefault(record.gateway, []).append(record.t)
         ways = {do for do, _, _ in self.faults.get(record.gateway, ())}
         made_to = "memory" in ways or (record.code < 0 and ways & {"kill", "stop"})
         if record.state == "ended" and record.code and not made_to:
@@ -152,6 +157,14 @@
 
     # ---- Requests
 
+    def _resent(self, record: seen.Resent) -> None:
+        """What was sent on before is judged at the end: only a process that has died may leave it so, and
+        none that lives can know of it."""
+        request = self.requests[record.id]
+        if request.arrived:
+            self.left.append((request, record.t))
+        request.one.copies.clear()
+
     def _arrived(self, record: seen.Arrived) -> None:
         self.attempts += 1
         request = self.requests.get(record.id)
@@ -208,7 +221,7 @@
         if self._excuse(request, record.t, LOST):
             self.excused[LOST] += 1
         elif record.how == "none" or request.arrived:
-            self.referee.breach("lost", f"{request.one.name} at {request.asked.gateway}: {record.how}")
+            self.referee.breach("lost", f"{request.one.name}: {record.how}")
 
     def _unheard(self, request: Request, record: seen.Answered) -> None:
         request.one.lost = True
@@ -228,6 +241,11 @@
         outcomes = Counter(request.how or "open" for request in self.requests.values())
         for request in self.requests.values():
             self.referee.over(request.one)
+        for request, at in self.left:
+            ends = self.ended.get(request.asked.gateway, ())
+            died = any(request.asked.t <= end <= at + AFTER_MS for end in ends)
+            if not died and not self._excuse(request, at, LOST):
+                self.referee.breach("lost", f"{request.one.name}: sent on, then its connection was closed")
         return Verdict(
             asked=len(self.requests), outcomes=dict(outcomes), excused=dict(self.excused),
             attempts=self.attempts, beyond=self.beyond, broken=dict(self.referee.broken),
