A stop waits for connections being accepted, and reads what is here before its last moment

(2) 0.25 s into the stop a connection was closed although a whole request was here, unread. (3) A connection that is taken back, or over, during the stop was closed over its request, or kept to the very end and reset. (4) A client whose passing on crossed the end of the link to the next process was let go of.

Change: Clients.over() counts what is being accepted, and a turn of the loop comes before the first look; the last moment asks the kernel as the other closes do; what is taken over while stopping is served and ends; a connection that was not passed on stays, and is no copy. Ruled out by the tests there were: the lingering close itself, and answers at the stop.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -219,9 +219,12 @@
             break
         await asyncio.sleep(0.01)
     clients.stop_listening()
-    # The decisions give their last answers just before the end; each connection closes behind its own.
-    while (clients.connections or clients.lingering) and loop.time() < end + CLOSE_S:
+    # The decisions give their last answers just before the end; each connection closes behind its own. One
+    # that the loop has just accepted is known a turn later: so a turn comes before the first look.
+    while True:
         await asyncio.sleep(0.01)
+        if clients.over() or loop.time() >= end + CLOSE_S:
+            break
     clients.abort()
 
 
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -221,6 +221,8 @@
         if not self.asked:
             self._await_command()
         self.clients.opened(self)
+        if self.clients.leaving:  # taken over during the stop: no look at all connections is still to come
+            self.clients.loop.call_soon(self.flush)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
@@ -464,17 +466,20 @@
         """Close between requests, when it is time to.
 
         Commands that were read but not taken yet, as too many were in hand, are taken first: closing
-        then would lose them.
+        then would lose them. At the stop, one on which something is here unread is read first.
         """
         if self.slots or not self.open():
             return
-        if self.ending or (self.clients.leaving and (self.clients.late or self.at_rest())):
+        if self.ending or (self.clients.leaving and self._may_leave()):
             self.close()
         elif self.clients.pass_on:
             self.clients.try_to_pass(self)
         elif self.asked and not self.lengths.within() and self.clients.unwanted():
             self.close_idle()
 
+    def _may_leave(self) -> bool:
+        return not self.unread() if self.clients.late else self.at_rest()
+
     def _between_commands(self) -> bool:
         return (self.open() and not self.slots and not self.ending and not self.lengths.within()
                 and not self.out_of_bounds)
@@ -584,7 +589,7 @@
         self.loop = asyncio.get_running_loop()
         self.ready = self.leaving = False  # ready: the list of servers is known
         self.late = False  # it leaves, and waits no longer for what is on its way
-        self.adopting: set[asyncio.Task[None]] = set()
+        self.adopting: set[asyncio.Task[None]] = set()  # of connections that are accepted, but not open yet
         self.serving, self.linger_s = True, inf  # as the decisions want it
         self.sweeper: asyncio.TimerHandle | None = None
         self.server: asyncio.Server | None = None
@@ -629,10 +634,21 @@
             self.server.close()
             self.server = None
 
-    async def adopt(self, sock: socket.socket, asked: bool, waited_s: float, kept_as: int = 0) -> None:
-        """Take a connection from the process before this one, which may keep a copy until it is told."""
+    def adopt(
+        self, sock: socket.socket, asked: bool, waited_s: float, kept_as: int = 0,
+    ) -> asyncio.Task[None]:
+        """Take a connection that is accepted already.
+
+        A process beside this one that it comes from may keep a copy until it is told.
+        """
         client = Client(self)
         client.asked, client.grace_s, client.kept_as = asked, max(0.0, WHOLE_S - waited_s), kept_as
+        task = self.loop.create_task(self._open(client, sock))
+        self.adopting.add(task)
+        task.add_done_callback(self.adopting.discard)
+        return task
+
+    async def _open(self, client: Client, sock: socket.socket) -> None:
         try:
             await self.loop.connect_accepted_socket(lambda: client, sock)
         except OSError:
@@ -751,9 +767,7 @@
             except OSError:  # there is none, or no descriptor for it
                 return
             sock.setblocking(False)
-            task = self.loop.create_task(self.adopt(sock, False, 0.0))
-            self.adopting.add(task)
-            task.add_done_callback(self.adopting.discard)
+            self.adopt(sock, False, 0.0)
 
     def _close_late(self) -> None:
         """Whoever has not sent a whole command by now finds it closed: it sends it elsewhere."""
@@ -761,6 +775,10 @@
         for client in list(self.connections):
             client.flush()
 
+    def over(self) -> bool:
+        """Whether every connection that was accepted has ended."""
+        return not (self.connections or self.lingering or self.adopting)
+
     def abort(self) -> None:
         """Close what is left, at the very end."""
         for client in [*self.connections, *self.lingering]:
--- a/brackenloft/net/handover.py
+++ b/brackenloft/net/handover.py
@@ -366,20 +366,24 @@
         return {"clients": len(self.clients.connections), "servers": len(self.servers.connections)}
 
     def _pass_client(self, client: Client, descriptor: int) -> bool:
-        if not self.link or not self.link.open:
+        link = self.link
+        if not link or not link.open:
             return False
-        about = {"asked": client.asked, "waited": self.loop.time() - client.made,
-                 "kept": self.kept.keep(descriptor, client.asked, self.room)}
-        self.link.send(b"C" + json.dumps(about).encode(), descriptor)
-        return True
+        kept = self.kept.keep(descriptor, client.asked, self.room)
+        about = {"asked": client.asked, "waited": self.loop.time() - client.made, "kept": kept}
+        link.send(b"C" + json.dumps(about).encode(), descriptor)
+        if not link.open:  # it broke off before this was on it: the connection stays here, and is no copy
+            self.kept.drop(kept)
+        return link.open
 
     def _pass_server(self, connection: Connection, descriptor: int) -> bool:
         roster = self.discovery.roster
         name = next((name for name, number in roster.numbers.items() if number == connection.host.number), "")
         if not self.link or not self.link.open or not name:
             return False
-        self.link.send(b"V" + name.encode(), descriptor)
-        return True
+        link = self.link
+        link.send(b"V" + name.encode(), descriptor)
+        return link.open
 
     def _tell(self, news: api.Elsewhere) -> None:
         if self.handed:
@@ -457,12 +461,10 @@
         if letter == b"C":
             about = json.loads(rest)
             self.clients.elsewhere = max(0, self.clients.elsewhere - 1)
-            coming = self.clients.adopt(
-                sock, bool(about["asked"]), float(about["waited"]), int(about.get("kept", 0)))
-        else:
-            self.servers.elsewhere = max(0, self.servers.elsewhere - 1)
-            coming = self.servers.adopt(self.discovery.roster.number(rest.decode()), sock)
-        task = self.loop.create_task(coming)
+            self.clients.adopt(sock, bool(about["asked"]), float(about["waited"]), int(about.get("kept", 0)))
+            return
+        self.servers.elsewhere = max(0, self.servers.elsewhere - 1)
+        task = self.loop.create_task(self.servers.adopt(self.discovery.roster.number(rest.decode()), sock))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
@@ -501,14 +503,11 @@
         task.add_done_callback(self.tasks.discard)
 
     async def _again(self) -> None:
-        untouched = self.kept.take_back()
-        if self.clients.leaving:
-            for sock, _ in untouched:
-                sock.close()
-            return
-        for sock, asked in untouched:
+        for sock, asked in self.kept.take_back():
             sock.setblocking(False)
             await self.clients.adopt(sock, asked, 0.0)
+        if self.clients.leaving:  # what came is served to its end; nobody takes over from here any more
+            return
         await self.clients.accept()
         self.withdraw()
         self.offer()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -2,6 +2,7 @@
 gateway's kernel, unread, as the other event comes, which is a call between two turns of the loop."""
 
 import asyncio
+import socket
 
 import pytest
 from fakes import SETTINGS, FakeServer, Raw, array, call, node, resp, run, until
@@ -99,6 +100,48 @@
     run(test())
 
 
+def test_request_that_is_here_unread_at_the_last_moment_of_the_stop_is_served(monkeypatch):
+    monkeypatch.setattr(module, "LATE_S", 3600.0)
+
+    async def test():
+        async with node(server()) as gateway:
+            raws = [Raw(port(gateway)), await used(gateway)]
+            raws[1].send(call(1)[:20])
+            await until(lambda: any(client.lengths.within() for client in gateway.clients.connections))
+            gateway.clients.stop_listening()
+            await until(lambda: len(gateway.clients.connections) == 2)
+            raws[0].send(call(2))
+            raws[1].send(call(1)[20:])
+            gateway.clients._close_late()  # before the loop could read any of them
+            for raw in raws:
+                assert await raw.rest() == (bulk(b"v"), "end")
+
+    run(test())
+
+
+@pytest.mark.parametrize("asked", [True, False])
+@pytest.mark.parametrize("late", [False, True])
+def test_connection_that_is_taken_over_at_the_stop_is_served_and_ends(monkeypatch, asked, late):
+    monkeypatch.setattr(module, "LATE_S", 3600.0)
+
+    async def test():
+        async with node(server()) as gateway:
+            gateway.clients.stop_listening()
+            if late:
+                gateway.clients._close_late()
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                raw = Raw(listener.getsockname()[1])
+                sock, _ = listener.accept()
+            sock.setblocking(False)
+            raw.send(call(1))
+            gateway.clients.adopt(sock, asked, 0.0)
+            assert not gateway.clients.over()
+            assert await raw.rest() == (bulk(b"v"), "end")
+            await until(gateway.clients.over)
+
+    run(test())
+
+
 @pytest.mark.parametrize("parts", [1, 0])
 def test_command_whose_rest_comes_after_the_last_moment_of_the_stop_is_never_sent_on(monkeypatch, parts):
     monkeypatch.setattr(module, "LATE_S", 0.0)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -8,12 +8,13 @@
 
 import pytest
 from conftest import PLANS, Rig, entry, rig_with
-from fakes import FakeServer, array, call, node, row, run, until
+from fakes import FakeServer, Raw, array, call, node, row, run, until
 
 from brackenloft import Drain, Elsewhere, HandOver, OtherGone, Plan, ServerByHand, Status, state
 from brackenloft.net import handover as module
+from brackenloft.net.clients import Client
 from brackenloft.net.discovery import Discovery
-from brackenloft.net.handover import KEPT, SOCKET, VERSION, Handover
+from brackenloft.net.handover import KEPT, SOCKET, VERSION, Handover, Link
 
 WHO = {"name": "n0", "listen": "127.0.0.1:6379"}
 NAMES = {1: "s-1", 2: "s-2"}
@@ -384,3 +385,53 @@
             old.handover.link.queue.clear()
 
     run(test())
+
+
+def answer(number: int) -> bytes:
+    return b"$16\r\n%016x\r\n" % number
+
+
+async def resting(gateway) -> tuple[Raw, Client]:
+    """A client that has been served and rests."""
+    raw = Raw(gateway.clients.listener.getsockname()[1])
+    raw.send(call(2))
+    assert await raw.read(len(answer(2))) == answer(2)
+    (client,) = gateway.clients.connections
+    return raw, client
+
+
+@pytest.mark.parametrize("late", [False, True])
+def test_request_on_a_connection_that_is_taken_back_during_the_stop_is_served(tmp_path, late):
+    async def test():
+        server = await silent_on_one()
+        async with process(tmp_path, server) as old:
+            raw, client = await resting(old)
+            assert old.handover.kept.keep(client.transport.get_extra_info("socket").fileno(), True, 1)
+            client.detach()  # the next process has it, reads nothing and ends
+            raw.send(call(3))
+            old.clients.stop_listening()
+            if late:
+                old.clients._close_late()
+            await old.handover._again()
+            assert await raw.rest() == (answer(3), "end")
+            assert old.handover.offered is None  # nobody takes over from a process that stops
+
+    run(test())
+
+
+def test_client_whose_passing_crosses_the_end_of_the_link_stays_and_is_served(tmp_path):
+    async def test():
+        server = await silent_on_one()
+        async with process(tmp_path, server) as old:
+            raw, client = await resting(old)
+            near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+            old.handover.link = Link(near, old.handover._message, old.handover._ended)
+            old.handover.handed, old.handover.room = True, 1
+            old.clients.pass_on = old.handover._pass_client
+            far.close()  # its end is not read yet
+            raw.send(call(3))
+            old.clients.try_to_pass(client)
+            assert await raw.read(len(answer(3))) == answer(3)
+            assert list(old.clients.connections) == [client] and not old.handover.kept.copies
+
+    run(test())
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -464,3 +464,16 @@
             await leaving
 
     run(test())
+
+
+def test_stop_waits_for_connections_that_it_has_only_begun_to_accept(monkeypatch):
+    monkeypatch.setattr(program_module, "KILL_S", (0.0, 0.8))  # the last half second of a stop begins at once
+
+    async def test():
+        async with node(FakeServer(lambda words: array(b"v"))) as gateway:
+            raw = Raw(gateway.clients.listener.getsockname()[1])
+            raw.send(call(1))  # in the listener's queue, and nobody else is connected
+            await program_module._leave(FAKE_SETTINGS, gateway.driver, gateway.clients)
+            assert raw.sock.recv(100) == b"$1\r\nv\r\n"  # written by then
+
+    run(test())
