A value that runs on beyond its declared length is broken, not a shorter one

On a scratch copy the first of them was *3 $4 abcdef: neither the parser nor Lengths.good looked at the two bytes where the line's end has to be.

Change: Lengths checks the line's end behind each word, for answers and commands; a long value ends whole only with its own. New tests fail without it (seen for Lengths and for answers).

--- a/brackenloft/net/lengths.py
+++ b/brackenloft/net/lengths.py
@@ -9,6 +9,7 @@
 MOST_WORDS = 64  # of an array: a request has five, what a library says at its start a few more
 LONGEST_HEADER = 16  # bytes of the line that declares a length
 LINES = b"+-:"  # what begins a line that holds a value itself
+END = b"\r\n"  # of a line, and behind each word
 
 
 HEAD = re.compile(rb"\*([1-9][0-9]?)\r\n\$([0-9]{1,7})\r\n")
@@ -33,7 +34,8 @@
     """Follows the lengths that a peer declares, ahead of the parser.
 
     Guards against a few bytes that declare an array of billions: the parser makes room for all of it, and
-    each pass of the garbage collector then walks that room for seconds.
+    each pass of the garbage collector then walks that room for seconds. And against a word that runs on
+    beyond its length: the parser does not look at what stands where its line's end has to be.
     """
 
     __slots__ = ("longest_word", "answers", "words", "skip", "header", "in_line")
@@ -48,10 +50,15 @@
         """How many of these bytes the parser may have: all, or those before what is out of bounds."""
         at, size = 0, len(data)
         while at < size:
-            if self.skip:
-                step = min(self.skip, size - at)
+            if self.skip > len(END):
+                step = min(self.skip - len(END), size - at)
                 self.skip -= step
                 at += step
+            elif self.skip:
+                if data[at] != END[-self.skip]:
+                    return at
+                self.skip -= 1
+                at += 1
             elif self.in_line or (self.answers and not self.header and data[at] in LINES):
                 at = self._line(data, at)
             else:
@@ -95,10 +102,10 @@
         null = self.answers and digits == b"-1"
         if not null and not digits.isdigit():
             return False
-        number = -2 if null else int(digits)
+        number = -len(END) if null else int(digits)
         if kind == b"$":
             self.words = max(0, self.words - 1)
-            self.skip = number + 2
+            self.skip = number + len(END)  # none behind a null
             return number <= self.longest_word
         self.words = max(0, number)
         return number <= MOST_WORDS and (self.answers or number > 0)
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -18,7 +18,7 @@
 import hiredis
 
 from brackenloft import interface as api
-from brackenloft.net.lengths import LONG, Lengths, long_value
+from brackenloft.net.lengths import END, LONG, Lengths, long_value
 from brackenloft.net.sockets import unread
 from brackenloft.settings import REPORT_FIELD
 
@@ -170,7 +170,7 @@
         self.head = b""  # of an answer, until it can be told whether a long value comes
         self.known = False  # it has been told
         self.sink: Sink | None = None  # where the long value goes whose rest is awaited
-        self.words, self.left = 0, 0  # of the answer it begins; and its bytes to come, with its line's end
+        self.words, self.left = 0, 0  # of the answer it begins; and its bytes to come
         self.silent: asyncio.TimerHandle | None = None
         self.handed = False  # the attempt's last byte to the kernel
         self.idle_since, self.unread = 0.0, 0
@@ -291,7 +291,7 @@
         if self.closed:
             sink.end(False)
             return
-        self.sink, self.words, self.left = sink, words, length + 2
+        self.sink, self.words, self.left = sink, words, length
         self.servers.passing += 1
         if data:
             self._pass_on(data)
@@ -301,14 +301,23 @@
     def _pass_on(self, data: bytes) -> None:
         assert self.sink
         self._heard()
-        piece, rest = data[:self.left], data[self.left:]
-        value = piece[:max(0, self.left - 2)]
-        self.left -= len(piece)
+        value, self.left = data[:self.left], max(0, self.left - len(data))
+        rest = data[len(value):]
         if value:
             self.sink.write(value)
-        if self.sink and not self.left:
+        if not self.left:
+            self._line_end(rest)
+
+    def _line_end(self, data: bytes) -> None:
+        """All of the value has been passed on: it is whole if its line's end comes now."""
+        self.head += data
+        if not self.head.startswith(END[:len(self.head)]):
+            log.warning("a server's long value runs on: %.100r", self.head)
+            self.close(api.Status.ERROR)
+        elif self.sink and len(self.head) >= len(END):
+            head, self.head = self.head, b""
             self._end_value(True)
-            self._parse(b"*%d\r\n$0\r\n\r\n" % self.words + rest)
+            self._parse(b"*%d\r\n$0\r\n" % self.words + head)
 
     def _end_value(self, whole: bool) -> None:
         sink, self.sink = self.sink, None
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -267,9 +267,39 @@
     run(test())
 
 
+# A value that is longer than it declares, and figures that are: no line's end where one has to be.
+RUN_ON = [b"*3\r\n$4\r\nabcdef$-1\r\n$-1\r\n", b"*3\r\n$4\r\nabcd\r$$-1\r\n$-1\r\n",
+          b"*3\r\n$0\r\nx\n$-1\r\n$-1\r\n", b"*3\r\n$1\r\nv\r\n$4\r\ncost=1$-1\r\n"]
+
+
+@pytest.mark.parametrize("cut", [None, *range(1, 24)])
+@pytest.mark.parametrize("run_on", RUN_ON)
+def test_answer_that_runs_on_beyond_its_declared_length_is_broken_however_it_is_cut(run_on, cut):
+    async def test():
+        def answer(words):
+            if fake.commands[0] is not words:
+                return array(words[2])
+            fake.writers[0].write(run_on[:cut])
+            return None
+
+        fake = FakeServer(answer)
+        async with node(fake) as gateway:
+            peer = await gateway.peer()
+            peer.send(call(1, "buy"))
+            await fake.until(lambda: len(fake.commands) == 1)
+            if cut:
+                await until(lambda: not gateway.driver.calls
+                            or any(one.unread or one.head for one in gateway.servers.connections))
+                fake.writers[0].write(run_on[cut:])
+            assert await peer.reply() == "-ERR failed"  # it may have run
+            assert await peer.ask(call(2, "buy")) == b"%016x" % 2 and fake.by == [0, 1]
+
+    run(test())
+
+
 @pytest.mark.parametrize("broken", [
     b"+OK\r\n", b"$1\r\nv\r\n", b"*0\r\n", b"*1\r\n:5\r\n", b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", array(b"v") * 2,
-    array(b"v") + b"*3\r\n$1", b"+half a li", b"*3\r\n$1\r\nv\r\n$",
+    array(b"v") + b"*3\r\n$1", b"+half a li", b"*3\r\n$1\r\nv\r\n$", *RUN_ON,
 ])
 def test_connection_of_a_broken_answer_is_never_used_again(monkeypatch, broken):
     monkeypatch.setattr(module, "REST_S", 0.0, raising=False)
--- a/tests/test_long_values.py
+++ b/tests/test_long_values.py
@@ -100,6 +100,26 @@
     run(test())
 
 
+@pytest.mark.parametrize("end", [b"xy", b"\rx", b"$-"])
+@pytest.mark.parametrize("cut", [0, 1, 2])
+def test_long_value_that_runs_on_beyond_its_length_is_not_taken_for_whole(end, cut):
+    async def test():
+        server = held(1)
+        async with node(server) as gateway:
+            peer = await gateway.peer()
+            peer.send(call(1))
+            await server.until(lambda: len(server.commands) == 1)
+            read = asyncio.ensure_future(peer.reader.read())  # to its end
+            server.writers[0].write(HEAD + VALUE + end[:cut])
+            await until(lambda: all(one.sink and not one.left for one in gateway.servers.connections))
+            server.writers[0].write(end[cut:] + TAIL)
+            assert (b"$%d\r\n" % LENGTH + VALUE).startswith(await read)  # no line's end behind it
+            await until(lambda: not gateway.driver.calls and not gateway.servers.passing)
+            assert not gateway.servers.connections
+
+    run(test())
+
+
 def test_server_that_gives_no_more_of_a_value_is_given_up_after_a_while(monkeypatch):
     monkeypatch.setattr(servers_module, "SILENT_S", 0.2)
 
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import hiredis
 import pytest
 from fakes import FakeServer, array, call, node, resp, run, until
 
@@ -143,6 +144,35 @@
     assert not lengths.words and not lengths.skip and not lengths.header
 
 
+@pytest.mark.parametrize("answers", [False, True])
+@pytest.mark.parametrize("cut", [1, 2, 3, 4, 5, 17, 1000])
+@pytest.mark.parametrize("end", [b"xy", b"\rx", b"x\n", b"\n\r", b"*1"])
+def test_word_without_a_lines_end_behind_it_never_reaches_the_parser_whole(answers, cut, end):
+    lengths, passed = Lengths(LONGEST_WORD, answers), b""
+    stream = b"*2\r\n$4\r\nPING\r\n$3\r\nabc" + end + b"*1\r\n$4\r\nPING\r\n"
+    for at in range(0, len(stream), cut):
+        piece = stream[at:at + cut]
+        good = lengths.good(piece)
+        passed += piece[:good]
+        if good < len(piece):
+            break
+    parser = hiredis.Reader()
+    parser.feed(passed)
+    assert len(passed) < len(stream) and parser.gets() is False
+
+
+def test_command_that_runs_on_beyond_its_declared_length_is_an_error_and_is_not_sent_on():
+    async def test():
+        server = FakeServer()
+        async with node(server) as gateway:
+            peer = await gateway.peer()
+            peer.send(call(1).removesuffix(b"\r\n") + b"ab")
+            assert await peer.reply() == "-ERR Protocol error" and await peer.reply() is None
+            assert not server.commands
+
+    run(test())
+
+
 def test_endless_row_of_bad_commands_is_cut_short_and_a_request_between_begins_it_anew():
     async def test():
         async with node(FakeServer()) as gateway:
