A row that could not be gone by later makes its list malformed, and no name is kept

By reading: a port beyond 65,535 or a host that is no address failed only as it was connected to (OverflowError, which nobody took: the attempt hung until its time-out); a weight of nan or text reached the decisions; names in malformed lists were kept for good, so a broken discovery grew the process. Change: a row is checked whole before a name is taken; a null is as if it were not there, as before.

--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -6,9 +6,11 @@
 import json
 import logging
 import random
+import socket
 from collections.abc import Callable
 from contextlib import suppress
 from itertools import count
+from math import inf
 from typing import Any, cast
 
 import httptools
@@ -69,14 +71,13 @@
             self.numbers.pop(name, None)
 
     def read(self, document: Any, known: bool = False) -> tuple[api.ServerList, dict[int, Address]]:
-        """A list and the addresses in it; raises ValueError, KeyError or TypeError if it is malformed."""
+        """A list and the addresses in it; raises ValueError, KeyError or TypeError if it is malformed, and
+        keeps no name of one that is."""
         full = known or bool(document["reset"])
-        entries, addresses = [], {}
-        for row in document["instances"]:
-            entry, address = self._entry(row)
-            entries.append(entry)
-            addresses[entry.server] = address
         generation = int(document["generation"])
+        places = [_place(row) for row in document["instances"]]
+        entries = [self._entry(row) for row in document["instances"]]
+        addresses = {entry.server: place for entry, place in zip(entries, places, strict=True)}
         if full:
             listed = {row["instanceId"] for row in document["instances"]} | self.pinned
             self.numbers = {name: number for name, number in self.numbers.items() if name in listed}
@@ -91,16 +92,39 @@
         kind = api.ListKind.CACHED if known else api.ListKind.FULL if full else api.ListKind.CHANGES
         return api.ServerList(kind, tuple(entries), generation), addresses
 
-    def _entry(self, row: dict[str, Any]) -> tuple[api.ServerEntry, Address]:
-        host, _, port = row["hostPort"].rpartition(":")
-        name = row["instanceId"]
-        number = self.assign(name)
-        entry = api.ServerEntry(
-            server=number, zone=row["zone"], kind=row.get("machineType", ""), cell=row.get("cell", 0),
-            state=STATES[row["lifecycle"]], size=row.get("weight", 1.0),
+    def _entry(self, row: dict[str, Any]) -> api.ServerEntry:
+        """A row that was found good."""
+        return api.ServerEntry(
+            server=self.assign(row["instanceId"]), zone=row["zone"] or "", kind=row.get("machineType") or "",
+            cell=row.get("cell") or 0, state=STATES[row["lifecycle"]], size=_weight(row),
             started_ms=float(row.get("startedAtMs") or 0.0),
         )
-        return entry, (host, int(port))
+
+
+def _weight(row: dict[str, Any]) -> Any:
+    weight = row.get("weight")
+    return 1.0 if weight is None else weight
+
+
+def _place(row: dict[str, Any]) -> Address:
+    """A row's address; raises ValueError, KeyError or TypeError where something in it is none of its kind.
+
+    Guards against what would fail only later: an address that can't be connected to, a figure that no other
+    can be compared with. A null is as if it were not there.
+    """
+    host, _, port = row["hostPort"].rpartition(":")
+    words = row["instanceId"], row["lifecycle"], row["zone"] or "", row.get("machineType") or ""
+    figures = _weight(row), row.get("startedAtMs") or 0.0
+    good = (all(isinstance(word, str) for word in words) and row["lifecycle"] in STATES
+            and all(isinstance(figure, (int, float)) and 0.0 <= figure < inf for figure in figures)
+            and isinstance(row.get("cell") or 0, int) and port.isdecimal() and 0 < int(port) < 1 << 16)
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):
+        good = False
+    if not good:
+        raise ValueError(f"no entry of a list: {row!r:.200}")
+    return host, int(port)
 
 
 class Watch(asyncio.Protocol):
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -56,6 +56,12 @@
     b"{not json\n", b"[]\n", b"7\n", b'{"generation":2,"reset":false}\n', b"\xff\xfe\n",
     listing(2, {**row("s-2", 2), "hostPort": None}), listing(2, {**row("s-2", 2), "lifecycle": "Odd"}),
     listing(2, {**row("s-2", 2), "hostPort": "nowhere"}),
+    *(listing(2, {**row("s-2", 2), **bad}) for bad in (
+        {"hostPort": "127.0.0.1:65536"}, {"hostPort": "127.0.0.1:0"}, {"hostPort": "127.0.0.1:-1"},
+        {"hostPort": "a.name:80"}, {"hostPort": ":80"}, {"hostPort": "127.0.0.1\0:80"}, {"zone": 7},
+        {"zone": ["a"]}, {"weight": float("nan")}, {"weight": -1.0}, {"weight": "x"}, {"weight": [1]},
+        {"startedAtMs": float("inf")}, {"startedAtMs": "x"}, {"cell": "x"}, {"machineType": 7},
+        {"instanceId": 7}, {"instanceId": ["s-2"]}, {"lifecycle": []})),
 ])
 def test_malformed_line_is_not_fatal_and_all_is_asked_for_again(line):
     async def test():
@@ -73,6 +79,23 @@
     run(test())
 
 
+def test_nulls_in_a_row_are_as_if_they_were_not_there():
+    nothing = dict.fromkeys(("zone", "machineType", "cell", "weight", "startedAtMs"))
+    rows = [{**row("s", 1), **nothing}]
+    (entry,) = module.Roster().read({"generation": 1, "reset": True, "instances": rows})[0].entries
+    assert (entry.zone, entry.kind, entry.cell, entry.size, entry.started_ms) == ("", "", 0, 1.0, 0.0)
+
+
+def test_names_in_lists_that_are_malformed_are_not_kept():
+    roster = module.Roster()
+    for number in range(100):
+        rows = [row(f"s-{number}-{n}", 1) for n in range(10)]
+        with pytest.raises(ValueError):
+            rows.append({**rows[0], "cell": "x"})
+            roster.read({"generation": number, "reset": False, "instances": rows})
+    assert not roster.numbers and not roster.rows
+
+
 def test_lines_behind_a_malformed_one_do_not_hide_that_it_was_lost():
     async def test():
         async with watched() as (_, fake, news):
