--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -66,8 +66,11 @@
         self.plans = {item.name.encode(): item.name for item in settings.plans}
         self.aims = {item.name: item.aim_ms for item in settings.classes}
 
-    def read(self, command: list[bytes]) -> tuple[api.Request, Callable[[float], bytes]]:
-        """The request, and what encodes it for a server that has so many milliseconds."""
+    def read(
+        self, command: list[bytes], waited_ms: float = 0.0,
+    ) -> tuple[api.Request, Callable[[float], bytes]]:
+        """The request, which has waited here for so long, and what encodes it for a server that has so many
+        milliseconds."""
         name, posts = command[0].upper(), command[0].upper() == b"CALL.POST"
         if len(command) != (5 if posts else 4):
             raise CommandError(f"wrong number of arguments for {name.decode()}")
@@ -84,7 +87,7 @@
         request = api.Request(
             request_id=self._id(request_id), class_name=kind.name, plan=plan,
             customer=self._customer(customer),
-            patience_ms=max(0.0, float(fields[b"d"]) - CLIENT_MARGIN_MS),
+            patience_ms=max(0.0, float(fields[b"d"]) - CLIENT_MARGIN_MS - waited_ms),
             units=_number(fields, b"units", "1", 1e-6, 1e6),
             width=int(_number(fields, b"spread", str(self.gateways), 1, 1e6)),
             first_gateway=int(_number(fields, b"first", "0", 0, 1e6)),
@@ -205,6 +208,7 @@
         self.behind = 0  # bytes of commands that wait so
         self.thrown = 0  # bytes that came behind the last command and were thrown away
         self.made = self.idle_since = clients.loop.time()
+        self.came = 0.0  # when the last bytes did, by the driver's clock
         self.grace_s = WHOLE_S
         self.moved, self.rounds = False, 0  # since the command's time began: bytes came; its further rounds
         self.unsent_bytes = self.stalled_at = 0
@@ -275,7 +279,7 @@
         self.read_bytes += len(data)
         self.clients.connections.move_to_end(self)  # the last to be pushed out
         self.idle_since = self.clients.loop.time()
-        self.moved = True
+        self.moved, self.came = True, self.clients.driver.clock()
         good = self.lengths.good(data)
         self.out_of_bounds = good < len(data)
         self.reader.feed(data[:good] if self.out_of_bounds else data)
@@ -376,7 +380,8 @@
     def _call(self, command: list[bytes]) -> None:
         driver = self.clients.driver
         try:
-            request, encode = self.clients.commands.read(command)
+            # What stood behind as many as may be in hand has waited since it came: its client counts that.
+            request, encode = self.clients.commands.read(command, driver.clock() - self.came)
             if request.request_id in driver.calls:
                 raise CommandError("a request of this id is in hand")
         except ValueError as error:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import socket
+from dataclasses import replace
 
 import pytest
 from fakes import SETTINGS, FakeServer, Raw, array, call, node, resp, run, until
@@ -289,3 +290,36 @@
             assert not gateway.driver.calls and gateway.driver.figures.gone == 1
 
     run(test())
+
+
+@pytest.mark.parametrize("kind", ["read", "post", "buy"])
+def test_time_that_a_command_waited_behind_as_many_as_may_be_in_hand_is_not_given_again(kind):
+    first = range(MOST_PIPELINED)
+    classes = tuple(replace(one, aim_ms=60_000.0, deadline_ms=60_000.0) for one in SETTINGS.classes)
+
+    async def test():
+        fake = FakeServer(lambda words: array(b"v") if int(words[2], 16) not in first else None)
+        async with node(fake, classes=classes) as gateway:
+            raw = Raw(port(gateway))
+            raw.send(*(call(number, wait=60_000) for number in first),
+                     call(1000, kind, wait=6000), call(1001, kind, wait=1000))
+            await fake.until(lambda: len(fake.commands) == MOST_PIPELINED)
+            (client,) = gateway.clients.connections
+            assert client.full  # both are read, and wait
+            clock = gateway.driver.clock
+            gateway.driver.clock = lambda: clock() + 2000.0
+            for number in (0, 1):
+                at = [int(words[2], 16) for words in fake.commands].index(number)
+                fake.writers[fake.by[at]].write(array(b"v"))
+            await until(lambda: gateway.driver.figures.asked == MOST_PIPELINED + 2)
+            await until(lambda: len(gateway.driver.calls) == MOST_PIPELINED - 2)
+            behind = [words for words in fake.commands if int(words[2], 16) not in first]
+            assert [int(words[2], 16) for words in behind] == [1000]  # the other one's time is up
+            assert told(behind[0]) <= 4000
+
+    run(test())
+
+
+def told(words: list[bytes]) -> int:
+    """The time that a server was told, ms."""
+    return int(dict(part.split(b"=") for part in words[3].split(b","))[b"d"])
