Where lists are asked for, the next call to discovery comes within 4 s of the last one

Change: pause_s keeps to a cycle of 4 s, the wait of the last call counted, for eight calls in a row; then the shared back-off as before.

--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -25,7 +25,8 @@
 BACKOFF_S = (0.05, 2.0)  # before another watch, first and at most, of which half is drawn at random
 AGENT_S = 0.25  # the same at most where lists are pushed: the machine's own agent answers this gateway alone
 SHARED_S = (0.05, 0.2)  # the same for each gateway: all of them share what discovery can answer
-FIRST_S = 4.0  # before the first one, at most: what an ended watch misses counts as told 6 s after a change
+CYCLE_S = 4.0  # from one call to the next, at most: what is missed counts as told 6 s after a change
+PROMPT = 8  # calls in a row that tell nothing, half a minute of them: until then that is kept to
 MOST_DOUBLED = 16  # times that a back-off is doubled
 CONNECT_S = 1.0
 SILENT = "silent"  # why a watch ended
@@ -138,6 +139,7 @@
         self.transport: asyncio.Transport | None = None
         self.silent: asyncio.TimerHandle | None = None
         self.why = ""  # it ended; empty while it runs
+        self.told = False  # it has shown that it lives
         self.done = asyncio.get_running_loop().create_future()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -159,7 +161,7 @@
         self.silent = loop.call_later(self.discovery.silent_s(), self._close, SILENT)
 
     def _alive(self) -> None:
-        self.discovery.failures = 0
+        self.discovery.failures, self.told = 0, True
         self._heard()
 
     def _close(self, why: str) -> None:
@@ -306,6 +308,7 @@
         loop = asyncio.get_running_loop()
         while True:
             self.moved.clear()
+            began = loop.time()
             try:
                 async with asyncio.timeout(CONNECT_S):
                     _, self.watch = await loop.create_connection(self._watch, *self.address)
@@ -315,9 +318,10 @@
             except (OSError, TimeoutError) as error:
                 log.warning("discovery can't be reached: %r", error)
             silent = self.watch is not None and self.watch.why == SILENT
+            took_s = 0.0 if self.watch is not None and self.watch.told else loop.time() - began
             self.watch = None
             with suppress(TimeoutError):
-                await asyncio.wait_for(self.moved.wait(), self.pause_s(silent))
+                await asyncio.wait_for(self.moved.wait(), self.pause_s(silent, took_s))
                 continue
             self.failures += 1
 
@@ -325,25 +329,27 @@
         """How long a watch may be silent."""
         return SILENT_S * (1.0 - SILENT_SPREAD * self.random.random())
 
-    def pause_s(self, silent: bool = False) -> float:
-        """Before another watch.
+    def pause_s(self, silent: bool = False, took_s: float = 0.0) -> float:
+        """Before another watch, behind one that took so long without telling anything.
 
         Where lists are pushed, what the machine's agent has counts as told whether or not a watch is open,
         and it says nothing while discovery is down: a watch has to be open as it speaks again, and costs
-        nobody else anything. Where lists are asked for, what a watch misses counts as told seconds after it
-        ended: the first one behind it is in time for that, its moment drawn from all the time there is; one
-        that fell silent has drawn it already.
+        nobody else anything. Where lists are asked for, what is missed counts as told seconds after discovery
+        could be reached: the next call is in time for that, whether the last one was ended, refused or left
+        waiting, its moment drawn from the time there is; a watch that fell silent has drawn it already.
 
-        Guards against gateways that lost theirs at once and come back at once, and against a discovery that
-        is kept overbooked by their calls alone: the more gateways, the rarer each one's.
+        Guards against gateways that lost theirs at once and come back at once, and, where it goes on, against
+        a discovery that is kept overbooked by their calls alone: the more gateways, the rarer each one's.
         """
         backoff = min(self.longest_s, self.shortest_s * 2.0 ** min(self.failures, MOST_DOUBLED))
-        if self.failures == 0 and not self.pushed:
-            if silent:
-                return BACKOFF_S[0]
-            if backoff > FIRST_S:
-                return FIRST_S * self.random.random()
-        return backoff * (1.0 - 0.5 * self.random.random())
+        if self.pushed or self.failures >= PROMPT:
+            return backoff * (1.0 - 0.5 * self.random.random())
+        if self.failures == 0 and silent:
+            return BACKOFF_S[0]
+        left = max(BACKOFF_S[0], CYCLE_S - took_s)
+        if self.failures == 0 and backoff > left:
+            return left * self.random.random()
+        return min(backoff, left) * (1.0 - 0.5 * self.random.random())
 
     def _watch(self) -> Watch:
         generation = self.roster.generation
