A cap below one for each gateway goes by its late reading, and thin bursts by the request

Change: Ceilings.overused holds back by chance, the more the reading is over the cap, for twice the life of news; a thin slice without news of room and where going beyond costs bursts by the request at hand. The floor, the excess and its tests stay.

--- a/brackenloft/policy/admission.py
+++ b/brackenloft/policy/admission.py
@@ -20,11 +20,8 @@
         self.hand = self.answers.hand
 
     def _useful(self, kind: RequestClass) -> float:
-        """How long a hold may last for the answer to come within the aim.
-
-        Guards against sending on what earns nothing: a band of one burst may last seconds longer than
-        the aim. Harm: a class that earns much after its aim is refused what it could have had.
-        """
+        """How long a hold may last for the answer to come within the aim: what comes later earns nothing, or
+        little. Harm: a class that earns much after its aim is refused what it could have had."""
         return kind.aim_ms - self.pressure.latencies.mean[kind.name]
 
     def _longest_hold(self, kind: RequestClass) -> float:
@@ -32,8 +29,7 @@
 
         Guards against inversion: at a customer over its quota the excess settles where the class with the
         longest aim is still held, and classes with shorter aims, maybe worth more, find it beyond theirs.
-        Harm: a burst of what is worth little is refused though its hold would have ended within the aim.
-        """
+        Harm: a burst of what is worth little is refused though its hold would have ended within the aim."""
         return max(0.0, self._useful(kind)) * kind.worth / self.context.most_worth
 
     def request(self, event: Request, kind: RequestClass, plan: Plan) -> None:
@@ -43,6 +39,9 @@
         if event.is_retry and self.meter.thin(customer, plan):
             self._refuse(event, customer, plan, "thin")
             return
+        if self.ceilings.overused(customer, plan, now):
+            self._refuse(event, customer, plan, "cap")
+            return
         turn, epoch = self.context.random.random(), self.customers.epochs.epoch
         flight = Flight(event, kind, plan, customer, now, turn, epoch)
         before = customer.excess, customer.touched
@@ -63,7 +62,7 @@
     def _refuse(self, event: Request, customer: Customer, plan: Plan, why: str) -> None:
         self.answers.count(why, plan)
         advice = self.meter.advice(customer, plan, event.units, self.context.now)
-        self.answers.refuse(event.request_id, advice)
+        self.answers.refuse(event.request_id, advice if plan.rate else self.context.settings.meter_period_ms)
 
     def _end_hold(self, flight: Flight) -> None:
         flight.waiting = False
@@ -86,11 +85,8 @@
             self._park(flight, wait)
 
     def _park(self, flight: Flight, wait: float) -> None:
-        """Hold what can't go now; the least worth for its work is refused when more wait than go at once.
-
-        Guards against queues here that outlast the aim. Harm: a short burst over few servers is
-        refused though it would have been served in time.
-        """
+        """Hold what can't go now; the least worth for its work is refused when more wait than go at once: a
+        queue must not outlast the aim. Harm: a short burst over few servers is refused needlessly."""
         parked = self.hand.parked
         if flight.request.request_id not in parked:
             last = flight.arrived + self._useful(flight.kind) - self.context.now
--- a/brackenloft/policy/attempts.py
+++ b/brackenloft/policy/attempts.py
@@ -56,8 +56,7 @@
             self.pressure.answered(server, flight.kind, event.latency_ms)
         if served and event.final_units is not None and not flight.closed:
             self.answers.settle(flight.customer, flight.request.units, event.final_units)
-        if event.closed or served:
-            flight.closed = True
+        flight.closed = flight.closed or event.closed or served
         if not flight.closed:
             self._again(flight, event.status, (server, sent))
         self.answers.drop_if_done(flight)
--- a/brackenloft/policy/ceilings.py
+++ b/brackenloft/policy/ceilings.py
@@ -6,6 +6,9 @@
 from brackenloft.policy.meter import Meter
 from brackenloft.tables import Context, Customer, Epochs, Flight
 
+CAP_NEWS = 2.0  # times that a rate's reading is news: few gateways hear of one customer's attempts twice
+CAP_POWER = 3.0  # of the overuse: gateways without a reading let theirs out all the same
+
 
 class Ceilings:
     """Owns customers' shares of the ceilings' stores. Times are milliseconds, levels are units."""
@@ -61,3 +64,13 @@
         if not cap:
             return False
         return customer.out + customer.elsewhere >= max(1, int(cap * self.meter.share(customer, now)))
+
+    def overused(self, customer: Customer, plan: Plan, now: float) -> bool:
+        """Whether a request stays in by the late reading of a cap: by chance, the likelier the more is out.
+
+        Guards against a cap below one for each gateway, which slices can't keep: a customer whom all of them
+        serve is beyond it with nearly all it asks. Harm: a peak that is over holds a few back."""
+        thin = not plan.rate and plan.over_cost and 0 < plan.max_in_flight < customer.width
+        if not thin or now - customer.used_at > CAP_NEWS * self.meter.news_ms:
+            return False
+        return self.context.random.random() * float(customer.used ** CAP_POWER) > 1.0
--- a/brackenloft/policy/cold.py
+++ b/brackenloft/policy/cold.py
@@ -14,10 +14,8 @@
 
     def warmth(self, server: Server) -> float:
         """The share of its capacity that a server has at least, by the time since its start."""
-        if server.started <= 0:
-            return 1.0
         rules, age = self.context.settings.contract, self.context.now - server.started
-        if age >= rules.warm_up_ms:
+        if server.started <= 0 or age >= rules.warm_up_ms:
             return 1.0
         return rules.cold_share + (1.0 - rules.cold_share) * max(0.0, age) / rules.warm_up_ms
 
@@ -27,8 +25,7 @@
         Guards against pushing a cold server over: of all requests at all gateways, however many, it is open
         to its even share times its least warmth at most, however good it looks, however often one asks.
         It also spreads the burst after a list change. Harm: where most servers are cold at once, requests
-        wait or are refused though the multiple would allow more.
-        """
+        wait or are refused though the multiple would allow more."""
         warmth = self.warmth(server)
         if warmth >= 1.0:
             return True
--- a/brackenloft/policy/health.py
+++ b/brackenloft/policy/health.py
@@ -17,10 +17,8 @@
         self.context, self.shares = context, Shares(context.decay, DOUBT_PRIOR)
 
     def judge(self, flight: Flight, server: Server, status: Status) -> None:
-        """Note an outcome; attempts that wait in vain are noted as they become slow.
-
-        A server that turns one away as full may do so to its class and plan alone, and others go on there.
-        """
+        """Note an outcome; attempts that wait in vain are noted as they become slow. A server that turns one
+        away as full may do so to its class and plan alone, and others go on there."""
         if status is Status.OK:
             for key in flight.keys:
                 self.mark(server, key, failed=False)
@@ -45,10 +43,9 @@
     def doubt(self, flight: Flight, server: Server, priors: Priors) -> float:
         """How likely the request fails there, 0 to 1.
 
-        Guards against silent, half-working and refusing servers, for all requests or a class or plan: who
-        was answered there goes there again, who was not goes elsewhere; while many fail, servers not tried
-        yet come after those that answered. Nothing is closed: the best of bad servers still gets work.
-        Harm: slow answers by chance turn requests away from a good server.
-        """
+        Guards against silent, half-working and refusing servers, for all requests or a class or plan: who was
+        answered there goes there again, who was not goes elsewhere; while many fail, servers not tried yet
+        come after those that answered. Nothing is closed: the best of bad servers still gets work. Harm: slow
+        answers by chance turn requests away from a good server."""
         shares = self.shares
         return shares.worst(server, flight.keys, (shares.prior(server.zone), *priors))
--- a/brackenloft/policy/lists.py
+++ b/brackenloft/policy/lists.py
@@ -20,8 +20,7 @@
         settings = self.context.settings
         if settings.discovery is DiscoveryMode.ASK and event.kind in (ListKind.CACHED, ListKind.FAILED):
             # Subscribe at the start; after a failure again well within the time the rules give.
-            again = settings.contract.ask_within_ms * ASK_SHARE
-            delay = 0.0 if event.kind is ListKind.CACHED else again
+            delay = 0.0 if event.kind is ListKind.CACHED else settings.contract.ask_within_ms * ASK_SHARE
             self.context.arm(delay, lambda _: self.context.actions.append(Subscribe(True)), None)
         if event.kind is ListKind.FAILED:
             return False
--- a/brackenloft/policy/meter.py
+++ b/brackenloft/policy/meter.py
@@ -39,8 +39,7 @@
         likely refused elsewhere for being over quota; and the last reading stays news until a request has
         drained, its room growing the burst while the customer asks no more here than its slice and two
         requests: a low reading of one held back is no room. Guards against customers far over quota that
-        try each gateway in turn. Harm: a retry after a failure is refused too.
-        """
+        try each gateway in turn. Harm: a retry after a failure is refused too."""
         thin = plan.burst < customer.largest * customer.width
         return thin and self._drain_ms(customer, plan) > self.news_ms
 
@@ -62,11 +61,13 @@
         if not plan.rate:
             return 0.0
         rate = plan.rate * self.share(customer, now)
-        burst = max(plan.burst / customer.width, customer.largest) * THOUSANDTHS
         customer.asked, customer.asked_at = self._drain_asked(customer, plan, now) + units, now
-        grows = THIN_BURST[plan.over_cost > 0.0]  # by chance two are no abuse, but chance adds up
-        if self.thin(customer, plan) and customer.asked <= grows * customer.largest:
-            burst *= 1.0 + grows * self._room(customer, now, self._drain_ms(customer, plan))
+        thin, costs = self.thin(customer, plan), plan.over_cost > 0.0
+        grows = THIN_BURST[costs]  # by chance two are no abuse, but chance adds up
+        few = thin and customer.asked <= grows * customer.largest
+        room = self._room(customer, now, self._drain_ms(customer, plan)) if few else 0.0
+        one = units if thin and costs and not room else customer.largest  # no larger one's room
+        burst = max(plan.burst / customer.width, one) * (1.0 + grows * room) * THOUSANDTHS
         excess = max(0.0, customer.excess - rate * (now - customer.touched) + THOUSANDTHS * units)
         if excess > 2.0 * burst:
             return inf
@@ -90,8 +91,7 @@
         """Units to charge once an answer has told the true ones.
 
         Guards against an answer that tells more than a request can count: one such figure would refuse
-        the customer for hours.
-        """
+        the customer for hours."""
         return min(true, max(guess, self.context.settings.largest_units)) - guess
 
     def drain(self, customer: Customer, plan: Plan, until: float, news_ms: float) -> None:
--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -5,7 +5,7 @@
 import pytest
 from conftest import SETTINGS, Rig, entry, rig_with
 
-from brackenloft import ClientGone, Request, Status
+from brackenloft import ClientGone, Limits, Plan, Refuse, Request, Status
 
 
 @pytest.fixture
@@ -228,3 +228,68 @@
         passed += len(rig.sent)
     # each: one at first, and what 10 / 60 a second drains in 20 s
     assert passed <= 60 * (1 + 20 * 10 / 60 + 1)
+
+
+CAPS = (Plan("cap", max_in_flight=2, over_cost=1.0), Plan("free-beyond", max_in_flight=2),
+        Plan("both", rate=1e6, burst=1e6, max_in_flight=2, over_cost=1.0))
+
+
+def let_out(plan: str, used: float | None, width: int = 60, age_ms: float = 0.0) -> int:
+    """How many of 400 go out, one at a time, at a gateway that has heard of such a use."""
+    rig = rig_with(plans=CAPS, gateways=60)
+    rig.servers(entry(1), entry(2))
+    rig.finish(rig.ask(plan, width=width), used=used)
+    (customer,) = rig.gateway.customers.values()
+    rig.run(age_ms)
+    heard, out = (customer.used, customer.used_at), 0
+    for _ in range(400):
+        name = rig.ask(plan, width=width)
+        if name in rig.sent:
+            out += 1
+            rig.finish(name, latency=1.0)
+        else:
+            assert rig.answers[name] == "Refuse"  # at once, and nothing is left of it
+        customer.used, customer.used_at = heard
+    assert not rig.gateway.hand.flights
+    return out
+
+
+def test_cap_below_one_for_each_gateway_is_kept_by_the_late_reading_and_the_more_the_higher_it_is():
+    outs = [let_out("cap", used) for used in (None, 40.0, 100.0, 150.0, 200.0, 400.0)]
+    assert outs[:3] == [400] * 3
+    assert 400 > outs[3] > outs[4] > outs[5] > 0  # some go always: else nobody would hear when it is over
+    assert 80 < outs[3] < 160 and outs[5] < 20
+
+
+def test_reading_of_a_cap_that_is_old_or_a_cap_that_slices_can_keep_holds_nothing_back():
+    news = 4.0 * SETTINGS.meter_period_ms
+    assert let_out("cap", 400.0, age_ms=1.9 * news) < 20 and let_out("cap", 400.0, age_ms=2.1 * news) == 400
+    assert let_out("cap", 400.0, width=2) == 400  # one each is the cap
+    assert let_out("free-beyond", 400.0) == 400 and let_out("both", 400.0, width=60) == 400
+
+
+def test_refusal_for_a_cap_that_is_overused_advises_to_come_with_the_next_reading():
+    limits = Limits(can_advise_retry=True, max_retry_after_ms=5000.0)
+    rig = rig_with(plans=CAPS, gateways=60, limits=limits)
+    rig.servers(entry(1), entry(2))
+    rig.finish(rig.ask("cap", width=60), used=10_000.0)
+    (refusal,) = [a for a in rig.do(Request("r", "safe", "cap", "c", 4000.0, 1, 60)) if isinstance(a, Refuse)]
+    assert refusal.retry_after_ms == SETTINGS.meter_period_ms
+
+
+@pytest.mark.parametrize("over_cost, sent", [
+    (0.0, [True, False, True, True]), (1.0, [True, False, False, False])])
+def test_small_requests_do_not_pass_in_the_room_of_a_large_one_where_all_gateways_together_go_beyond(
+        over_cost, sent):
+    plan = Plan("thin", rate=1.0, burst=4.0, over_cost=over_cost)  # of 60 gateways
+    rig = rig_with(plans=(plan,), gateways=60)
+    rig.servers(entry(1), entry(2))
+    names = [rig.ask("thin", units=units, width=60) for units in (1, 4, 1, 1)]
+    assert [name in rig.sent for name in names] == sent
+    whole = rig_with(plans=(plan,), gateways=60)
+    whole.servers(entry(1), entry(2))
+    assert whole.ask("thin", units=4, width=60) in whole.sent  # the first one goes, however large
+    wide = rig_with(plans=(plan,), gateways=60)
+    wide.servers(entry(1), entry(2))
+    asked = [wide.ask("thin", units=units, width=1) for units in (1, 4, 1)]  # alone: no less than its burst
+    assert [name in wide.sent for name in asked] == [True, False, True]
