--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,7 +8,7 @@
 import pytest
 from fakes import SETTINGS, FakeServer, Raw, array, call, node, resp, run, until
 
-from brackenloft import Admit
+from brackenloft import Admit, Plan
 from brackenloft.net import clients as module
 from brackenloft.net.clients import MOST_PIPELINED
 
@@ -323,3 +323,52 @@
 def told(words: list[bytes]) -> int:
     """The time that a server was told, ms."""
     return int(dict(part.split(b"=") for part in words[3].split(b","))[b"d"])
+
+
+@pytest.mark.parametrize("can_cancel", [True, False])
+@pytest.mark.parametrize("leaves", [True, False])
+@pytest.mark.parametrize("kind", ["read", "post", "buy"])
+@pytest.mark.parametrize("waits", ["held", "parked", "under a cap"])
+def test_request_whose_client_left_while_it_waited_is_never_sent_on(waits, kind, leaves, can_cancel):
+    plans = (Plan("free"), Plan("held", rate=4.0, burst=1.0), Plan("under a cap", max_in_flight=1))
+    limits = replace(SETTINGS.limits, can_cancel=can_cancel)
+
+    async def test():
+        fake = FakeServer(lambda words: None if words[2].endswith(b"9") else array(b"v"))
+        async with node(fake, plans=plans, limits=limits, gateways=1) as gateway:
+            first, raw = Raw(port(gateway)), Raw(port(gateway))
+            plan = "free" if waits == "parked" else waits
+            if waits == "parked":
+                gateway.told()  # no server is ready
+            else:
+                first.send(call(9, "read", plan))
+                await fake.until(lambda: len(fake.commands) == 1)
+            raw.send(call(1, kind, plan))
+            await until(lambda: f"{1:016x}" in gateway.driver.calls)
+            before = len(fake.commands)
+            if leaves:
+                raw.sock.close()
+                await until(lambda: gateway.driver.figures.gone == 1)
+            match waits:  # what it waited for comes
+                case "held":
+                    clock = gateway.driver.clock
+                    gateway.driver.clock = lambda: clock() + 1000.0
+                    gateway.driver._fire()
+                case "parked":
+                    gateway.told(fake.entry(1))
+                case "under a cap":
+                    fake.writers[0].write(array(b"v"))
+                    await until(lambda: f"{9:016x}" not in gateway.driver.calls)
+            if leaves:
+                assert await served(gateway, call(2, "read", "free"))  # on a connection behind it
+                assert [words[2] for words in fake.commands[before:]] == [b"%016x" % 2]
+            else:
+                assert await raw.read(len(bulk(b"v"))) == bulk(b"v")
+
+    run(test())
+
+
+async def served(gateway, command: bytes) -> bool:
+    raw = Raw(port(gateway))
+    raw.send(command)
+    return await raw.read(len(bulk(b"v"))) == bulk(b"v")
