--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -502,3 +502,26 @@
             assert answer.startswith("NO refused, revision 1 stays: ") and made.state() == before
 
     run(test())
+
+
+def test_sighup_that_crosses_the_handover_is_carried_out_before_it_or_not_at_all(tmp_path):
+    """The state is written in one step of the loop, which comes in each of the turns that a reload takes."""
+    async def test():
+        seen = set()
+        for turns in range(8):
+            async with configured(tmp_path) as made:
+                made.plan(value_factor=2.0 + turns)
+                made.reload.signal()
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                made.handover.handed = True
+                then = made.state()
+                while made.reload.task:
+                    await asyncio.sleep(0)
+                assert made.state() == then  # what the next process was given is what holds here
+                took = made.reload.revision > 1
+                assert took != ("the next process has taken over" in made.reload.refused)
+                seen.add(took)
+        assert seen == {True, False}
+
+    run(test())
