--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import socket
+import struct
 from dataclasses import replace
 
 import pytest
@@ -72,6 +73,23 @@
     run(test())
 
 
+@pytest.mark.parametrize("wrote", [True, False])
+def test_connection_that_was_reset_in_the_queue_does_not_hide_those_behind_it_at_the_stop(wrote):
+    async def test():
+        async with node(server()) as gateway:
+            gone, behind = Raw(port(gateway)), Raw(port(gateway))
+            if wrote:
+                gone.send(call(1))
+            gone.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            gone.sock.close()  # by a reset
+            behind.send(call(2))
+            gateway.clients.stop_listening()
+            assert await behind.rest() == (bulk(b"v"), "end")
+            await until(gateway.clients.over)
+
+    run(test())
+
+
 def test_new_connection_without_a_request_at_the_stop_may_still_send_it_for_a_moment(monkeypatch):
     monkeypatch.setattr(module, "LATE_S", 3600.0)
 
