Thin bursts go by the request only where the burst is below a unit for each gateway

A handful of gateways share bursts of several units each there, and nothing of the fleet's sum is lost by a second small request.

--- a/brackenloft/policy/meter.py
+++ b/brackenloft/policy/meter.py
@@ -62,11 +62,11 @@
             return 0.0
         rate = plan.rate * self.share(customer, now)
         customer.asked, customer.asked_at = self._drain_asked(customer, plan, now) + units, now
-        thin, costs = self.thin(customer, plan), plan.over_cost > 0.0
+        thin, costs = self.thin(customer, plan), plan.over_cost > 0.0  # under one each: by the request
         grows = THIN_BURST[costs]  # by chance two are no abuse, but chance adds up
         few = thin and customer.asked <= grows * customer.largest
         room = self._room(customer, now, self._drain_ms(customer, plan)) if few else 0.0
-        one = units if thin and costs and not room else customer.largest  # no larger one's room
+        one = units if thin and costs and not room and plan.burst < customer.width else customer.largest
         burst = max(plan.burst / customer.width, one) * (1.0 + grows * room) * THOUSANDTHS
         excess = max(0.0, customer.excess - rate * (now - customer.touched) + THOUSANDTHS * units)
         if excess > 2.0 * burst:
--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -289,7 +289,8 @@
     whole = rig_with(plans=(plan,), gateways=60)
     whole.servers(entry(1), entry(2))
     assert whole.ask("thin", units=4, width=60) in whole.sent  # the first one goes, however large
-    wide = rig_with(plans=(plan,), gateways=60)
-    wide.servers(entry(1), entry(2))
-    asked = [wide.ask("thin", units=units, width=1) for units in (1, 4, 1)]  # alone: no less than its burst
-    assert [name in wide.sent for name in asked] == [True, False, True]
+    for width in (1, 3, 4):  # a unit of the burst for each gateway, or more: the room of its largest
+        wide = rig_with(plans=(plan,), gateways=60)
+        wide.servers(entry(1), entry(2))
+        asked = [wide.ask("thin", units=units, width=width) for units in (1, 4, 1)]
+        assert [name in wide.sent for name in asked] == [True, False, True]
