--- a/brackenloft/rig/judge.py
+++ b/brackenloft/rig/judge.py
@@ -86,7 +86,7 @@
         self.faults: dict[str, list[tuple[str, float, float]]] = {}  # by gateway: kind, from, until
         self.open: dict[tuple[int, str], int] = {}
         self.ended: dict[str, list[float]] = {}  # by gateway: when a process of it ended
-        self.left: list[tuple[Request, float]] = []  # sent on when their client's connection ended, and when
+        self.cut_short: list[tuple[Request, float]] = []  # sent on as their connection ended, and when
         self.late: list[tuple[float, float]] = []
         self.excused: Counter[str] = Counter()
         self.attempts, self.beyond = 0, 0.0
@@ -162,7 +162,7 @@
         none that lives can know of it."""
         request = self.requests[record.id]
         if request.arrived:
-            self.left.append((request, record.t))
+            self.cut_short.append((request, record.t))
         request.one.copies.clear()
 
     def _arrived(self, record: seen.Arrived) -> None:
@@ -241,7 +241,7 @@
         outcomes = Counter(request.how or "open" for request in self.requests.values())
         for request in self.requests.values():
             self.referee.over(request.one)
-        for request, at in self.left:
+        for request, at in self.cut_short:
             ends = self.ended.get(request.asked.gateway, ())
             died = any(request.asked.t <= end <= at + AFTER_MS for end in ends)
             if not died and not self._excuse(request, at, LOST):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -24,12 +24,11 @@
     return gateway.clients.listener.getsockname()[1]
 
 
-async def used(gateway, room: int = 0) -> Raw:
+async def used(gateway, command: bytes = b"") -> Raw:
     """A client that has been served and rests."""
-    raw = Raw(port(gateway), room)
-    raw.send(call(900 + len(gateway.clients.connections)))
-    answer = bulk(b"v")
-    assert await raw.read(len(answer)) == answer
+    raw = Raw(port(gateway))
+    raw.send(command or call(900 + len(gateway.clients.connections)))
+    assert await raw.read(len(bulk(b"v"))) == bulk(b"v")
     return raw
 
 
@@ -378,15 +377,9 @@
                     fake.writers[0].write(array(b"v"))
                     await until(lambda: f"{9:016x}" not in gateway.driver.calls)
             if leaves:
-                assert await served(gateway, call(2, "read", "free"))  # on a connection behind it
+                await used(gateway, call(2, "read", "free"))  # a request behind it is served
                 assert [words[2] for words in fake.commands[before:]] == [b"%016x" % 2]
             else:
                 assert await raw.read(len(bulk(b"v"))) == bulk(b"v")
 
     run(test())
-
-
-async def served(gateway, command: bytes) -> bool:
-    raw = Raw(port(gateway))
-    raw.send(command)
-    return await raw.read(len(bulk(b"v"))) == bulk(b"v")
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -177,7 +177,6 @@
     run(test())
 
 
-@pytest.mark.usefixtures("no_rest")
 @pytest.mark.usefixtures("no_rest")
 def test_second_attempt_that_comes_up_after_the_answer_is_not_sent():
     async def test():
