--- a/review/standins.py
+++ b/review/standins.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -64,24 +65,19 @@
     return f"{_ids:04x}{os.urandom(6).hex()}"
 
 
-def get(
-    request_id: str, name: str = "lookup", wait_ms: int = 2000, customer: str = "00000000b4d65521"
-) -> bytes:
-    fields = f"c={name},t=team,d={wait_ms},units=1,spread=1,first=0"
-    return command("CALL.GET", customer, request_id, fields)
+def any_customer() -> str:
+    """One of 500 customers: a single connection carries requests from many."""
+    return f"{0xB4D65000 + random.randrange(500):016x}"
 
 
-def post(
-    request_id: str,
-    name: str,
-    wait_ms: int = 2000,
-    body: bytes = b"body",
-    key: str | None = None,
-    customer: str = "00000000b4d65521",
-) -> bytes:
-    keyed = f",k={key}" if key else ""
-    fields = f"c={name},t=team,d={wait_ms}{keyed},units=1,spread=1,first=0"
-    return command("CALL.POST", customer, request_id, fields, body)
+def get(request_id: str, wait_ms: int = 8000) -> bytes:
+    fields = f"c=profile-read,t=campus,d={wait_ms},units=1,spread=1,first=0"
+    return command("CALL.GET", any_customer(), request_id, fields)
+
+
+def post(request_id: str, body: bytes, key: str, wait_ms: int = 4000) -> bytes:
+    fields = f"c=signup,t=campus,d={wait_ms},k={key},units=1,spread=1,first=0"
+    return command("CALL.POST", any_customer(), request_id, fields, body)
 
 
 # ---- RESP
@@ -406,7 +402,7 @@
                 "key_scope": "all",
                 "late_share": 0.2,
                 "memory_span_ms": 5000.0,
-                "name": "lookup",
+                "name": "profile-read",
                 "slo_ms": 2000.0,
                 "stream": False,
                 "value": 1.0,
@@ -422,17 +418,6 @@
                 "stream": False,
                 "value": 5.0,
             },
-            {
-                "effect": "unsafe",
-                "hard_limit_ms": 4000.0,
-                "key_scope": "all",
-                "late_share": 0.2,
-                "memory_span_ms": 0.0,
-                "name": "order",
-                "slo_ms": 1500.0,
-                "stream": False,
-                "value": 5.0,
-            },
         ],
         "slot_no": 0,
         "tariffs": [
@@ -441,12 +426,12 @@
                 "cap_rate": 0.0,
                 "excess_worth": 0.0,
                 "hard_slack": 0.0,
-                "most_at_once": 4000.0,
-                "name": "team",
-                "overrun_cost": 0.0,
+                "most_at_once": 28.0,
+                "name": "campus",
+                "overrun_cost": 1.2,
                 "parallel": 0,
-                "refill": 2000.0,
-                "value_factor": 1.0,
+                "refill": 16.0,
+                "value_factor": 1.6,
             }
         ],
         "tick_ms": 4.0,
@@ -643,6 +628,9 @@
     """Play a case; ``play`` returns what broke the rule. The exit code is that of ``run.sh``."""
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         case = Case(folder)
         try:
             async with asyncio.timeout(110.0):
@@ -663,6 +651,10 @@
 
     try:
         return asyncio.run(run())
-    except Exception as error:  # a fault of the case itself says nothing about the rule
+    except (
+        Exception,
+        asyncio.CancelledError,
+        KeyboardInterrupt,
+    ) as error:  # a fault of the case itself says nothing about the rule
         print(f"could not run: {error!r}", file=sys.stderr)
         return NOT_RUN
