Clients: a command that does not come in time is counted and logged, and a close says who reads

A client that was answered "-ERR no whole command in time" left no trace at all (the close counts as one in order), and "too many unsent bytes of replies" did not say whether the client had left its replies unread.

Change: FIGURES has command_timeouts, by whether the connection had carried a request; for those that had, the log tells the time that the command was given, what was read, how long the connection has been open in this process and whether it was being read. The log line of a connection that is closed with replies pending tells how many of them are answered, their bytes, and whether the client reads.

--- a/quota_gateway/net/clients/command_timer.py
+++ b/quota_gateway/net/clients/command_timer.py
@@ -17,7 +17,14 @@
     Guards against a peer that sends nothing, half a command or a single PING and never disconnects.
     """
 
-    __slots__ = ("_loop", "_handle", "_first_timeout_s", "_has_received_bytes", "_body_extensions")
+    __slots__ = (
+        "_loop",
+        "_handle",
+        "_first_timeout_s",
+        "_has_received_bytes",
+        "_body_extensions",
+        "timeout_s",
+    )
 
     def __init__(self, loop: asyncio.AbstractEventLoop, waited_s: float) -> None:
         self._loop = loop
@@ -25,6 +32,7 @@
         self._first_timeout_s: float | None = max(0.0, COMMAND_TIMEOUT_S - waited_s)
         self._has_received_bytes = False  # bytes have arrived since the timer was started
         self._body_extensions = 0  # granted to the current command
+        self.timeout_s = 0.0  # of the latest start
 
     @property
     def is_running(self) -> bool:
@@ -33,10 +41,10 @@
 
     def start(self, on_expired: Callable[[], None]) -> None:
         """Start to wait for a command; ``on_expired`` must call ``mark_expired`` first."""
-        timeout_s = COMMAND_TIMEOUT_S if self._first_timeout_s is None else self._first_timeout_s
+        self.timeout_s = COMMAND_TIMEOUT_S if self._first_timeout_s is None else self._first_timeout_s
         self._first_timeout_s = None
         self._has_received_bytes = False
-        self._handle = self._loop.call_later(timeout_s, on_expired)
+        self._handle = self._loop.call_later(self.timeout_s, on_expired)
 
     def mark_expired(self) -> None:
         """Record that the timer has expired and no longer runs."""
--- a/quota_gateway/net/clients/connection.py
+++ b/quota_gateway/net/clients/connection.py
@@ -15,6 +15,7 @@
 from quota_gateway.net.clients.reply_queue import ReplyQueue, WriteOutcome
 from quota_gateway.net.clients.stall_timer import StallTimer
 from quota_gateway.net.close_reason import CloseReason
+from quota_gateway.net.metrics import AwaitedCommand
 from quota_gateway.net.sockets import has_unread_bytes
 from quota_gateway.state_machine import transition
 
@@ -121,12 +122,17 @@
         """Drop all pending replies and report the disconnect for each unanswered request to the driver."""
         self.command_timer.stop()
         self.throttle.set_waiting(0)
+        unsent_bytes = self.replies.unsent_bytes
         slots = self.replies.drop_all()
         if slots and self.close_reason:
             log.warning(
-                "closed a client's connection with %d replies pending: %s",
+                "closed a client's connection with %d replies pending: %s (%d answered, %d bytes; the client"
+                " %s)",
                 len(slots),
                 self.close_reason.value,
+                sum(slot.answer is not None for slot in slots),
+                unsent_bytes,
+                "reads nothing" if self.replies.is_stuck else "has read all that was written",
             )
         for slot in slots:
             if slot.answer is None:
@@ -217,12 +223,25 @@
         if self.is_parsing_blocked or (self._awaits_body() and self.command_timer.grant_body_extension()):
             self.command_timer.start(self._on_command_timeout)
         elif self.takes_commands:
+            self._report_command_timeout()
             self.stop_taking_commands()
             if self.stream.is_within_command():
                 self.reply(b"-ERR no whole command in time\r\n")
             self._update_reading()
             self._close_if_due()
 
+    def _report_command_timeout(self) -> None:
+        """Count a command that did not arrive in time; log it if the peer has proved to be a real client."""
+        self.clients.driver.metrics.command_timeouts[AwaitedCommand.of(self.has_requested)] += 1
+        if self.has_requested:
+            log.warning(
+                "no complete command came within %.2f s (%d bytes read behind the last; open for %.1f s; %s)",
+                self.command_timer.timeout_s,
+                self.stream.bytes_since_command,
+                self.clients.loop.time() - self.opened_at_s,
+                "reading is paused" if self.throttle.is_paused else "reading",
+            )
+
     def _awaits_body(self) -> bool:
         """Whether only the rest of a command's body is missing, on a connection that has sent a request."""
         return self.has_requested and self.stream.is_in_body()
--- a/quota_gateway/net/metrics.py
+++ b/quota_gateway/net/metrics.py
@@ -11,6 +11,7 @@
 import time
 from collections import Counter
 from contextlib import suppress
+from enum import Enum
 from math import log2
 from pathlib import Path
 
@@ -40,6 +41,18 @@
     return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
 
 
+class AwaitedCommand(Enum):
+    """Which command of a client's connection was awaited; the value is the key in the report."""
+
+    FIRST_REQUEST = "first request"
+    LATER_COMMAND = "later command"
+
+    @classmethod
+    def of(cls, has_requested: bool) -> AwaitedCommand:
+        """The command awaited on a connection, by whether a request was received on it."""
+        return cls.LATER_COMMAND if has_requested else cls.FIRST_REQUEST
+
+
 class GatewayMetrics:
     """Counters of requests and of how they ended.
 
@@ -57,6 +70,7 @@
         self.disconnected_total = 0  # the client disconnected before its answer
         self.dropped: Counter[CloseReason] = Counter()  # this gateway closed the connection before the answer
         self.broken_off_total = 0  # of those served: the rest of a long value never came
+        self.command_timeouts: Counter[AwaitedCommand] = Counter()  # connections that sent none in time
         self.late_total = 0  # of those served: later than the latency objective of their class
         self.attempts_total = 0
         self.latency_buckets = [0] * (MAX_LATENCY_BUCKET + 1)  # requests served, by bucket
@@ -113,6 +127,7 @@
             "dropped": {reason.value: total for reason, total in self.dropped.items()},
             "unanswered": unanswered,
             "broken_off": self.broken_off_total,
+            "command_timeouts": {awaited.value: total for awaited, total in self.command_timeouts.items()},
             "late": self.late_total,
             "attempts": self.attempts_total,
             "in_hand": in_flight,
--- a/tests/test_request_outcomes.py
+++ b/tests/test_request_outcomes.py
@@ -11,6 +11,7 @@
 from quota_gateway.net.clients import command_timer as command_timer_module
 from quota_gateway.net.clients import stall_timer as stall_timer_module
 from quota_gateway.net.close_reason import CloseReason
+from quota_gateway.net.metrics import AwaitedCommand
 
 SOCKET_BUFFER_BYTES = 4096  # of a client's receive buffer and the gateway's send buffer
 PONG = b"+PONG\r\n"
@@ -202,6 +203,30 @@
     run(test())
 
 
+@pytest.mark.parametrize("has_requested", [False, True])
+def test_command_that_does_not_arrive_in_time_is_counted_and_logged_for_clients(
+    has_requested, monkeypatch, caplog
+):
+    """A client that was served before gets an error for half a command, and the requests behind it are lost.
+
+    If that were not logged with the time it had, operators could not tell a slow client from a wrong timer.
+    """
+    monkeypatch.setattr(command_timer_module, "COMMAND_TIMEOUT_S", 0.1)
+
+    async def test():
+        async with local_gateway(FakeServer()) as gateway:
+            peer = await gateway.connect_client()
+            if has_requested:
+                await peer.ask(call(1))
+            peer.send(call(2)[:20])
+            assert (await peer.reply()).startswith("-ERR no whole command")
+            awaited = AwaitedCommand.of(has_requested)
+            assert gateway.driver.metrics.command_timeouts == {awaited: 1}
+            assert ("no complete command came within 0.10 s (20 bytes" in caplog.text) == has_requested
+
+    run(test())
+
+
 def test_request_whose_client_disconnected_is_not_counted_as_dropped_by_the_gateway(caplog):
     async def test():
         server = silent_server()
