--- a/quota_gateway/net/clients/command_timer.py
+++ b/quota_gateway/net/clients/command_timer.py
@@ -20,29 +20,36 @@
     __slots__ = (
         "_loop",
         "_handle",
-        "_first_timeout_s",
+        "_awaited_since_s",
         "_has_received_bytes",
         "_body_extensions",
         "timeout_s",
     )
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, waited_s: float) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
         self._handle: asyncio.TimerHandle | None = None
-        self._first_timeout_s: float | None = max(0.0, COMMAND_TIMEOUT_S - waited_s)
+        self._awaited_since_s = 0.0  # loop time
         self._has_received_bytes = False  # bytes have arrived since the timer was started
         self._body_extensions = 0  # granted to the current command
-        self.timeout_s = 0.0  # of the latest start
+        self.timeout_s = COMMAND_TIMEOUT_S  # of the latest start
 
     @property
     def is_running(self) -> bool:
         """Whether the timer is running, which means that a command is awaited."""
         return self._handle is not None
 
-    def start(self, on_expired: Callable[[], None]) -> None:
-        """Start to wait for a command; ``on_expired`` must call ``mark_expired`` first."""
-        self.timeout_s = COMMAND_TIMEOUT_S if self._first_timeout_s is None else self._first_timeout_s
-        self._first_timeout_s = None
+    def waited_s(self) -> float:
+        """How long the awaited command has been awaited; 0 if none is."""
+        return self._loop.time() - self._awaited_since_s if self.is_running else 0.0
+
+    def start(self, on_expired: Callable[[], None], waited_s: float = 0.0) -> None:
+        """Start to wait for a command; ``on_expired`` must call ``mark_expired`` first.
+
+        ``waited_s``: how long this command has been awaited already, by the process before.
+        """
+        self._awaited_since_s = self._loop.time() - waited_s
+        self.timeout_s = max(0.0, COMMAND_TIMEOUT_S - waited_s)
         self._has_received_bytes = False
         self._handle = self._loop.call_later(self.timeout_s, on_expired)
 
--- a/quota_gateway/net/clients/connection.py
+++ b/quota_gateway/net/clients/connection.py
@@ -60,7 +60,7 @@
     pending replies are dropped.
     """
 
-    def __init__(self, clients: ClientRegistry, waited_s: float = 0.0) -> None:
+    def __init__(self, clients: ClientRegistry) -> None:
         self.clients = clients
         self.state = ClientState.OPEN
         self.close_reason: CloseReason | None = None  # None unless this gateway ended the connection
@@ -68,13 +68,14 @@
         self.opened_at_s = clients.loop.time()
         self.idle_since = self.opened_at_s
         self.has_requested = False  # a request was received; clients now keep it open between requests
+        self.waited_s = 0.0  # for a first request, in the process that the connection was adopted from
         self.retained_id = 0  # of the copy that the predecessor of a hot restart keeps; 0 for none
         self.linger_timer: asyncio.TimerHandle | None = None
 
         # Incoming commands
         self.stream = CommandStream()
         self.throttle = ReadThrottle(clients.waiting)
-        self.command_timer = CommandTimer(clients.loop, waited_s)
+        self.command_timer = CommandTimer(clients.loop)
         self.is_parsing = False
         self.is_parsing_blocked = False  # as the maximum is in flight, or the client reads no replies
         self.last_read_ms = 0.0  # time of the latest read, by the driver's clock
@@ -93,7 +94,7 @@
         # No isinstance check: uvloop's transports don't inherit from asyncio.Transport.
         self.transport = cast(asyncio.Transport, transport)
         if not self.has_requested:
-            self.command_timer.start(self._on_command_timeout)
+            self.command_timer.start(self._on_command_timeout, self.waited_s)
         self.clients.register(self)
         if self.clients.is_shutting_down:  # adopted after the shutdown flushed all connections
             self.clients.loop.call_soon(self.flush)
--- a/quota_gateway/net/clients/registry.py
+++ b/quota_gateway/net/clients/registry.py
@@ -87,11 +87,12 @@
     ) -> asyncio.Task[None]:
         """Take over a connection that is already accepted.
 
-        ``had_request``: whether a request was received on it; ``waited_s``: for how long it has been open;
-        ``retained_id``: the id of the copy that the predecessor keeps, 0 for none.
+        ``had_request``: whether a request was received on it; ``waited_s``: for how long its first request
+        has been awaited; ``retained_id``: the id of the copy that the predecessor keeps, 0 for none.
         """
-        client = Client(self, waited_s)
+        client = Client(self)
         client.has_requested = had_request
+        client.waited_s = waited_s
         client.retained_id = retained_id
         task = self.loop.create_task(self._attach_socket(client, sock))
         self.adopting.add(task)
--- a/quota_gateway/net/hot_restart/connection_transfer.py
+++ b/quota_gateway/net/hot_restart/connection_transfer.py
@@ -75,7 +75,7 @@
         if session is None or not session.open:
             return False
         retained_id = self.retained.retain(descriptor, client.has_requested, self._max_retained)
-        waited_s = self._loop.time() - client.opened_at_s
+        waited_s = client.command_timer.waited_s()
         session.send(ClientConnection(client.has_requested, waited_s, retained_id), descriptor)
         if not session.open:  # it ended before the connection was sent: the connection stays here
             self.retained.release(retained_id)
--- a/quota_gateway/net/hot_restart/messages.py
+++ b/quota_gateway/net/hot_restart/messages.py
@@ -95,7 +95,7 @@
     """Predecessor to successor, with its descriptor: a client connection between two requests."""
 
     has_requested: bool  # whether a request has come on it
-    waited_s: float  # time since it was opened
+    waited_s: float  # how long its next command has been awaited; earlier versions send the connection's age
     retained_id: int  # of the copy that the predecessor retains; NOT_RETAINED from earlier versions
 
     def body(self) -> bytes:
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -8,7 +8,7 @@
 
 import pytest
 from conftest import PLANS, Rig, entry, rig_with
-from fakes import FakeServer, RawClient, call, local_gateway, row, run, server_reply, until
+from fakes import FakeServer, RawClient, RespClient, call, local_gateway, resp, row, run, server_reply, until
 
 from quota_gateway import (
     DrainChanged,
@@ -22,9 +22,11 @@
 )
 from quota_gateway.errors import IllegalTransitionError, RestartError
 from quota_gateway.net.clients import Client
+from quota_gateway.net.clients import command_timer as command_timer_module
 from quota_gateway.net.discovery import Discovery
 from quota_gateway.net.hot_restart import GatewayIdentity, HotRestart, limits, predecessor, successor
 from quota_gateway.net.hot_restart.link import QueuedMessage
+from quota_gateway.net.hot_restart.messages import ClientConnection
 from quota_gateway.net.hot_restart.operator_overrides import FILE_NAME, OperatorOverrides
 from quota_gateway.net.hot_restart.predecessor import Predecessor, PredecessorState
 from quota_gateway.net.hot_restart.session import PeerSession
@@ -623,6 +625,105 @@
     run(test())
 
 
+async def send_in_two_pieces(client: RespClient, command: bytes, gateway) -> None:
+    """Send half of a command, let the gateway read it and all timers that are due fire, and send the rest."""
+    client.send(command[:40])
+    await until(lambda: any(item.stream.is_within_command() for item in gateway.clients.connections))
+    await asyncio.sleep(0.01)
+    client.send(command[40:])
+
+
+def test_request_in_pieces_on_a_transferred_connection_is_served_and_those_behind_it(tmp_path):
+    """A client that keeps its connection across an upgrade sends a request in two pieces.
+
+    It was given no time for the second piece: it got an error, and the requests behind it no answer at all.
+    """
+
+    async def test():
+        server = await start_server_silent_on_request_1()
+        async with process(tmp_path, server) as old, process(tmp_path) as new:
+            client = await old.connect_client()
+            assert await client.ask(call(2)) == b"0000000000000002"
+            (connection,) = old.clients.connections
+            connection.opened_at_s -= 60.0  # as if it had been open for longer than any command may take
+            old.hot_restart.offer()
+            assert await new.hot_restart.take_over()
+            await until(lambda: len(new.clients.connections) == 1)
+            await send_in_two_pieces(client, call(3), new)
+            client.send(call(4))
+            assert await client.reply() == b"0000000000000003"
+            assert await client.reply() == b"0000000000000004"
+
+    run(test())
+
+
+def test_time_that_an_earlier_version_sends_with_a_used_connection_limits_no_later_command(tmp_path):
+    """Earlier versions send a connection's age; it must not be taken for a wait after its first request."""
+
+    async def test():
+        server = await start_server_silent_on_request_1()
+        async with process(tmp_path, server) as old, process(tmp_path) as new:
+            client = await old.connect_client()
+            assert await client.ask(call(2)) == b"0000000000000002"
+            old.hot_restart.offer()
+            assert await new.hot_restart.take_over()
+            (connection,) = await adopted(new)
+            descriptor = os.dup(connection.transport.get_extra_info("socket").fileno())
+            connection.detach()
+            receiver = new.hot_restart.successor._connections
+            receiver.adopt_client(ClientConnection(True, 60.0, 0), [descriptor])
+            await adopted(new)
+            await send_in_two_pieces(client, call(3), new)
+            assert await client.reply() == b"0000000000000003"
+
+    run(test())
+
+
+async def adopted(gateway) -> list[Client]:
+    """The connections of a gateway once it has adopted all that were sent to it."""
+    await until(lambda: gateway.clients.connections and not gateway.clients.adopting)
+    return list(gateway.clients.connections)
+
+
+def test_transferred_connection_that_has_only_sent_pings_has_time_for_its_first_request(tmp_path):
+    """Each PING starts a new wait for a first request; the connection's age was taken for that wait.
+
+    A client that pings before it sends requests was disconnected as soon as it was transferred.
+    """
+
+    async def test():
+        server = await start_server_silent_on_request_1()
+        async with process(tmp_path, server) as old, process(tmp_path) as new:
+            client = await old.connect_client()
+            (connection,) = old.clients.connections
+            connection.opened_at_s -= 60.0
+            assert await client.ask(resp("PING")) == b"PONG"
+            old.hot_restart.offer()
+            assert await new.hot_restart.take_over()
+            await adopted(new)
+            await asyncio.sleep(0.01)
+            assert await client.ask(call(3)) == b"0000000000000003"
+
+    run(test())
+
+
+def test_limit_on_the_wait_for_a_first_request_holds_for_both_processes_together(tmp_path, monkeypatch):
+    """A peer that sends nothing is closed in time although it is transferred meanwhile."""
+    monkeypatch.setattr(command_timer_module, "COMMAND_TIMEOUT_S", 600.0)
+
+    async def test():
+        async with process(tmp_path) as old, process(tmp_path) as new:
+            client = await old.connect_client()
+            await until(lambda: bool(old.clients.connections))
+            (connection,) = old.clients.connections
+            connection.command_timer._awaited_since_s -= 600.0
+            old.hot_restart.offer()
+            assert await new.hot_restart.take_over()
+            assert await client.reply() is None
+
+    run(test())
+
+
 def test_client_whose_transfer_coincides_with_the_end_of_the_link_stays_and_is_served(tmp_path):
     async def test():
         server = await start_server_silent_on_request_1()
