Clients: the time for a command is suspended while nothing is read from the client

Its replies fill the write buffer, so that reading pauses, and the command timer ran on. Only a parser that was blocked at the moment of expiry was excused; a buffer that fills between two commands does not block it until the next one.

Change: Client._update_reading, the one place that pauses and resumes reading, also suspends and resumes the timer, which keeps the time that was left. It replaces the restarts at expiry. Peers that take no replies end by the stall timer as before, and one that leaves its command incomplete afterwards by the command timer (second test).

Ruled out beside it: a process that is held up beyond the limit reads before the timer fires (tested for a first and a later request, held before).

--- a/quota_gateway/net/clients/command_timer.py
+++ b/quota_gateway/net/clients/command_timer.py
@@ -12,57 +12,69 @@
 
 
 class CommandTimer:
-    """Runs while a complete command is awaited; the connection decides what to do when it expires.
+    """Measures how long a complete command is awaited; the connection decides what to do when it expires.
 
-    Guards against a peer that sends nothing, half a command or a single PING and never disconnects.
+    Guards against a peer that sends nothing, half a command or a single PING and never disconnects. Time in
+    which this process takes nothing from the client does not count: the timer is suspended meanwhile.
     """
 
     __slots__ = (
         "_loop",
+        "_on_expired",
+        "timeout_s",
+        "_left_s",
+        "_resumed_at_s",
         "_handle",
-        "_awaited_since_s",
+        "_is_suspended",
         "_has_received_bytes",
         "_body_extensions",
-        "timeout_s",
     )
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
-        self._handle: asyncio.TimerHandle | None = None
-        self._awaited_since_s = 0.0  # loop time
+        self._on_expired: Callable[[], None] | None = None  # None if no command is awaited
+        self.timeout_s = 0.0  # given at the latest start
+        self._left_s = 0.0  # at the latest start, suspension or resumption
+        self._resumed_at_s = 0.0  # loop time of the latest start or resumption
+        self._handle: asyncio.TimerHandle | None = None  # None also while suspended
+        self._is_suspended = False
         self._has_received_bytes = False  # bytes have arrived since the timer was started
         self._body_extensions = 0  # granted to the current command
-        self.timeout_s = COMMAND_TIMEOUT_S  # of the latest start
 
     @property
     def is_running(self) -> bool:
-        """Whether the timer is running, which means that a command is awaited."""
-        return self._handle is not None
+        """Whether a command is awaited, although the timer may be suspended."""
+        return self._on_expired is not None
 
     def waited_s(self) -> float:
-        """How long the awaited command has been awaited; 0 if none is."""
-        return self._loop.time() - self._awaited_since_s if self.is_running else 0.0
+        """How long the awaited command has been awaited, without the time suspended; 0 if none is."""
+        return COMMAND_TIMEOUT_S - self._time_left_s() if self.is_running else 0.0
 
     def start(self, on_expired: Callable[[], None], waited_s: float = 0.0) -> None:
-        """Start to wait for a command; ``on_expired`` must call ``mark_expired`` first.
+        """Start to wait for a command; the wait ends as ``on_expired`` is called.
 
         ``waited_s``: how long this command has been awaited already, by the process before.
         """
-        self._awaited_since_s = self._loop.time() - waited_s
+        self._on_expired = on_expired
         self.timeout_s = max(0.0, COMMAND_TIMEOUT_S - waited_s)
+        self._left_s = self.timeout_s
         self._has_received_bytes = False
-        self._handle = self._loop.call_later(self.timeout_s, on_expired)
-
-    def mark_expired(self) -> None:
-        """Record that the timer has expired and no longer runs."""
-        self._handle = None
+        self._schedule()
 
     def stop(self) -> None:
         """Stop waiting: a complete command has arrived, or none is awaited any more."""
         self._body_extensions = 0
-        if self._handle:
-            self._handle.cancel()
-            self._handle = None
+        self._on_expired = None
+        self._cancel()
+
+    def set_suspended(self, is_suspended: bool) -> None:
+        """Suspend the timer, as nothing is taken from the client, or resume it with the time left."""
+        if is_suspended == self._is_suspended:
+            return
+        self._left_s = self._time_left_s()
+        self._is_suspended = is_suspended
+        if self.is_running:
+            self._schedule()
 
     def on_bytes(self) -> None:
         """Record that bytes have arrived."""
@@ -74,3 +86,26 @@
             return False
         self._body_extensions += 1
         return True
+
+    def _time_left_s(self) -> float:
+        if self._is_suspended:
+            return self._left_s
+        return max(0.0, self._left_s - (self._loop.time() - self._resumed_at_s))
+
+    def _schedule(self) -> None:
+        self._cancel()
+        self._resumed_at_s = self._loop.time()
+        if not self._is_suspended:
+            self._handle = self._loop.call_later(self._left_s, self._expire)
+
+    def _cancel(self) -> None:
+        if self._handle:
+            self._handle.cancel()
+            self._handle = None
+
+    def _expire(self) -> None:
+        on_expired = self._on_expired
+        self._handle = None
+        self._on_expired = None
+        if on_expired:
+            on_expired()
--- a/quota_gateway/net/clients/connection.py
+++ b/quota_gateway/net/clients/connection.py
@@ -217,11 +217,11 @@
             self.throttle.set_waiting(self.stream.bytes_since_command if self.replies.is_full() else 0)
             should_pause = self.replies.is_stuck or self.throttle.is_over_budget()
         self.throttle.apply(self.transport, should_pause)
+        # While parsing is blocked, complete commands may be waiting unparsed: the peer is not late.
+        self.command_timer.set_suspended(should_pause or self.is_parsing_blocked)
 
     def _on_command_timeout(self) -> None:
-        self.command_timer.mark_expired()
-        # While parsing is blocked, complete commands may be waiting unparsed: the peer is not late.
-        if self.is_parsing_blocked or (self._awaits_body() and self.command_timer.grant_body_extension()):
+        if self._awaits_body() and self.command_timer.grant_body_extension():
             self.command_timer.start(self._on_command_timeout)
         elif self.takes_commands:
             self._report_command_timeout()
@@ -236,11 +236,10 @@
         self.clients.driver.metrics.command_timeouts[AwaitedCommand.of(self.has_requested)] += 1
         if self.has_requested:
             log.warning(
-                "no complete command came within %.2f s (%d bytes read behind the last; open for %.1f s; %s)",
+                "no complete command came within %.2f s (%d bytes read behind the last; open for %.1f s)",
                 self.command_timer.timeout_s,
                 self.stream.bytes_since_command,
                 self.clients.loop.time() - self.opened_at_s,
-                "reading is paused" if self.throttle.is_paused else "reading",
             )
 
     def _awaits_body(self) -> bool:
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -716,7 +716,7 @@
             client = await old.connect_client()
             await until(lambda: bool(old.clients.connections))
             (connection,) = old.clients.connections
-            connection.command_timer._awaited_since_s -= 600.0
+            connection.command_timer._resumed_at_s -= 600.0
             old.hot_restart.offer()
             assert await new.hot_restart.take_over()
             assert await client.reply() is None
--- a/tests/test_long_values.py
+++ b/tests/test_long_values.py
@@ -199,10 +199,13 @@
     run(test())
 
 
-async def client_that_read_a_long_value_slowly(gateway, server: FakeServer) -> RawClient:
-    """A client that left its reply unread until the gateway could write no more, and then read all of it."""
+async def client_that_read_a_long_value_slowly(gateway, server: FakeServer, behind: bytes = b"") -> RawClient:
+    """A client that left its reply unread until the gateway could write no more, and then read all of it.
+
+    ``behind``: what it has sent behind its request.
+    """
     raw = RawClient(gateway.clients.listener.getsockname()[1], receive_buffer_bytes=4096)
-    raw.send(call(1))
+    raw.send(call(1), behind)
     await server.until(lambda: len(server.commands) == 1)
     writer(server, 1).transport.set_write_buffer_limits(2 * LENGTH)
     writer(server, 1).write(HEAD + VALUE + TAIL)
@@ -244,6 +247,48 @@
     run(test())
 
 
+def test_time_in_which_a_client_is_not_read_does_not_count_as_its_time_for_a_command(monkeypatch):
+    """A client sends half a request, takes its long value only after some time, and sends the rest.
+
+    Its time ran on while the gateway did not read from it: the half-read request got an error, and what came
+    behind it no answer, although the rest of it had long been sent.
+    """
+    monkeypatch.setattr(command_timer_module, "COMMAND_TIMEOUT_S", 0.1)
+
+    async def test():
+        server = server_silent_on(1)
+        async with local_gateway(server) as gateway:
+            raw = RawClient(gateway.clients.listener.getsockname()[1], receive_buffer_bytes=4096)
+            second = call(2)
+            raw.send(call(1), second[:20])
+            await server.until(lambda: len(server.commands) == 1)
+            (client,) = gateway.clients.connections
+            writer(server, 1).transport.set_write_buffer_limits(2 * LENGTH)
+            writer(server, 1).write(HEAD + VALUE + TAIL)
+            await until(lambda: client.replies.is_stuck)
+            raw.send(second[20:], call(3))
+            await asyncio.sleep(0.3)
+            await raw.read(len(b"$%d\r\n" % LENGTH) + LENGTH + 2)
+            assert await raw.read(14) == 2 * b"$1\r\nv\r\n"
+            raw.sock.close()
+
+    run(test())
+
+
+def test_peer_that_does_not_complete_its_command_after_a_long_value_is_closed(monkeypatch):
+    """The limit on the rest of a command holds again once the gateway reads."""
+    monkeypatch.setattr(command_timer_module, "COMMAND_TIMEOUT_S", 0.1)
+
+    async def test():
+        server = server_silent_on(1)
+        async with local_gateway(server) as gateway:
+            raw = await client_that_read_a_long_value_slowly(gateway, server, call(2)[:20])
+            data, end = await raw.read_to_end()
+            assert (data, end) == (b"-ERR no whole command in time\r\n", "end")
+
+    run(test())
+
+
 def test_client_that_took_many_short_replies_slowly_is_read_again():
     """As with a long value, but many short replies together are more than the client takes."""
 
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -1,10 +1,11 @@
 """Client connections: order of replies, invalid input, clients that disconnect or do not read."""
 
 import asyncio
+import time
 
 import hiredis
 import pytest
-from fakes import FakeServer, call, local_gateway, resp, run, server_reply, until
+from fakes import FakeServer, RawClient, call, local_gateway, resp, run, server_reply, until
 
 from quota_gateway.net.clients import command_timer as command_timer_module
 from quota_gateway.net.clients.command_dispatcher import MAX_BAD_COMMANDS
@@ -14,6 +15,7 @@
 
 FIELDS = "c=read,t=free,d=4000,units=1,spread=2,first=0"
 CUSTOMER, REQUEST_ID = "00000000b4d65521", "00000000000000aa"
+VALUE_OF_AN_ID = b"$16\r\n%016x\r\n" % 2  # the reply to ``call(2)``
 
 
 def test_request_is_forwarded_unchanged_except_for_its_timeout():
@@ -371,6 +373,32 @@
     run(test())
 
 
+@pytest.mark.parametrize("is_first", [True, False])
+def test_bytes_that_a_busy_process_has_not_read_in_time_are_read_before_the_command_times_out(
+    is_first, monkeypatch
+):
+    """The process is held up beyond a client's time for a command, whose rest has arrived meanwhile.
+
+    The timer ran before the read: the client got an error for a command that it had sent in time.
+    """
+    monkeypatch.setattr(command_timer_module, "COMMAND_TIMEOUT_S", 0.1)
+
+    async def test():
+        async with local_gateway(FakeServer()) as gateway:
+            raw = RawClient(gateway.clients.listener.getsockname()[1])
+            if not is_first:
+                raw.send(call(1))
+                await raw.read(len(VALUE_OF_AN_ID))
+            raw.send(call(2)[:20])
+            connections = gateway.clients.connections
+            await until(lambda: any(client.stream.is_within_command() for client in connections))
+            raw.send(call(2)[20:])
+            time.sleep(0.2)  # the event loop stands still
+            assert await raw.read(len(VALUE_OF_AN_ID)) == VALUE_OF_AN_ID
+
+    run(test())
+
+
 def test_client_that_sent_a_request_may_be_idle_or_wait_for_its_reply(monkeypatch):
     monkeypatch.setattr(command_timer_module, "COMMAND_TIMEOUT_S", 0.5)
 
