--- a/quota_gateway/net/clients/command_dispatcher.py
+++ b/quota_gateway/net/clients/command_dispatcher.py
@@ -58,7 +58,7 @@
         client.has_requested = True
         client.bad_commands = 0
         slot = ReplySlot(client, None, request.request_id)
-        client.replies.slots.append(slot)
+        client.replies.append(slot)
         pending = ClientRequest(request.request_id, call.encode, slot.fill, slot.begin)
         pending.latency_objective_ms = call.latency_objective_ms
         driver.accept(pending, request, request.client_timeout_ms)
--- a/quota_gateway/net/clients/connection.py
+++ b/quota_gateway/net/clients/connection.py
@@ -84,6 +84,7 @@
 
         # Outgoing replies
         self.replies = ReplyQueue(clients.unsent)
+        self.has_shed = False  # a reply was replaced by an error, for lack of room
         self.stall_timer = StallTimer()
 
     def _enter(self, state: ClientState) -> None:
@@ -138,6 +139,7 @@
         for slot in slots:
             if slot.answer is None:
                 self.clients.driver.client_disconnected(slot.request_id, self.close_reason)
+        self.clients.on_replies_changed()
 
     # ---- Incoming commands
 
@@ -197,6 +199,7 @@
             self.clients.dispatcher.dispatch(self, command)
         self.is_parsing = False
         self.is_parsing_blocked = self._must_block_parsing()
+        self.clients.note_awaits_room(self)
         awaits_command = self.stream.is_within_command() or not self.has_requested
         if awaits_command and not self.command_timer.is_running:
             self.command_timer.start(self._on_command_timeout)
@@ -205,7 +208,7 @@
         self._close_if_due()
 
     def _must_block_parsing(self) -> bool:
-        return self.replies.is_stuck or self.replies.is_full()
+        return self.replies.is_stuck or self.replies.must_hold_commands()
 
     def _update_reading(self) -> None:
         """Pause or resume reading; called whenever one of its conditions may have changed."""
@@ -214,7 +217,8 @@
         if self._is_discarding():
             should_pause = self.throttle.is_discard_exhausted()
         else:
-            self.throttle.set_waiting(self.stream.bytes_since_command if self.replies.is_full() else 0)
+            holds_commands = self.replies.must_hold_commands()
+            self.throttle.set_waiting(self.stream.bytes_since_command if holds_commands else 0)
             should_pause = self.replies.is_stuck or self.throttle.is_over_budget()
         self.throttle.apply(self.transport, should_pause)
         # While parsing is blocked, complete commands may be waiting unparsed: the peer is not late.
@@ -259,25 +263,31 @@
 
     def reply(self, reply: bytes) -> None:
         """Answer a command immediately; the reply is written after those of earlier commands."""
-        self.replies.slots.append(ReplySlot(self, reply))
-        self.add_unsent_bytes(len(reply))
+        self.replies.append(ReplySlot(self, reply))
         self.flush()
 
-    def add_unsent_bytes(self, added_bytes: int) -> None:
-        """Count the bytes of a reply that waits to be written, and enforce the limit over all clients."""
-        self.replies.count_unsent(added_bytes)
-        self.clients.enforce_unsent_budget()
+    def shed_last_reply(self) -> bool:
+        """Replace the last reply that waits by an error, for lack of room; false if none is left."""
+        has_shed = self.replies.shed_last()
+        if has_shed:
+            self.clients.driver.metrics.shed_replies_total += 1
+            if not self.has_shed:
+                log.warning("replies that wait for an earlier one become errors: too many bytes wait in all")
+            self.has_shed = True
+        return has_shed
+
+    def go_on_parsing(self) -> None:
+        """Dispatch commands that were read and wait, if they need not wait any longer."""
+        if self.is_parsing_blocked and not self.is_parsing:
+            self._parse()
 
     def flush(self) -> None:
         """Write the replies that are due, in order; then parse waiting commands and close if necessary."""
-        if not self.can_write_replies():
-            return
-        if not self._write_due_replies() or self.is_parsing:
-            return
-        if self.is_parsing_blocked:
-            self._parse()
-        self._report_all_answered()
-        self._close_if_due()
+        if self.can_write_replies() and self._write_due_replies() and not self.is_parsing:
+            self.go_on_parsing()
+            self._report_all_answered()
+            self._close_if_due()
+        self.clients.on_replies_changed()
 
     def _write_due_replies(self) -> bool:
         """Write the replies that are due; false if the connection was closed or is closing."""
--- a/quota_gateway/net/clients/registry.py
+++ b/quota_gateway/net/clients/registry.py
@@ -14,11 +14,11 @@
 from quota_gateway.net.clients.connection import Client
 from quota_gateway.net.clients.listener import BACKLOG, bind
 from quota_gateway.net.clients.read_throttle import READ_BYTES
+from quota_gateway.net.clients.reply_budget import ReplyBudget
 from quota_gateway.net.close_reason import CloseReason
 from quota_gateway.net.driver import Driver
 
 MAX_WAITING_BYTES = 2 * 1024 * 1024  # of commands that were read and wait, as the maximum is in flight
-MAX_UNSENT_BYTES = 8 * 1024 * 1024  # of replies that wait to be written
 MAX_LINGERING = 16  # half-closed connections allowed in addition to the limit on open ones
 SHUTDOWN_GRACE_S = 0.25  # for partly read commands and new connections, once idle ones are closed
 SWEEP_INTERVAL_S = 0.1  # between two checks for connections that are idle for too long
@@ -41,7 +41,9 @@
         self.lingering: dict[Client, None] = {}  # half-closed connections, whose input is discarded
         self.adopting: set[asyncio.Task[None]] = set()  # create the transports of adopted sockets
         self.waiting = ByteBudget(MAX_WAITING_BYTES)
-        self.unsent = ByteBudget(MAX_UNSENT_BYTES)
+        self.unsent = ReplyBudget(most_connections)
+        self.awaiting_room: dict[Client, None] = {}  # their commands wait for room for the replies
+        self.uses_room_soon = False  # ``_use_room`` is scheduled
 
         # The listener
         self.listener: socket.socket | None = None
@@ -149,6 +151,7 @@
         """
         self.dispatcher.reconfigure(settings)
         self.most_connections = most_connections
+        self.unsent.divide(most_connections)
         for client in list(self.connections):
             if not self.is_over_limit():
                 break
@@ -172,6 +175,7 @@
         too.
         """
         self.connections[client] = None
+        self.unsent.open_connections = len(self.connections)
         if self.on_opened:
             self.on_opened(client)
         if not self.is_over_limit():
@@ -200,19 +204,46 @@
             del self.lingering[oldest]
             oldest.end_lingering()
 
-    def enforce_unsent_budget(self) -> None:
-        """If too many reply bytes wait to be written, abort the connection that holds most of them.
+    def note_awaits_room(self, client: Client) -> None:
+        """Note whether a client's commands wait for room for their replies."""
+        if not client.is_parsing_blocked or not client.replies.lacks_room():
+            self.awaiting_room.pop(client, None)
+        elif client not in self.awaiting_room:
+            self.awaiting_room[client] = None
+            self.driver.metrics.held_commands_total += 1
+
+    def on_replies_changed(self) -> None:
+        """Enforce the limit on replies that wait, and use the room there is for further commands."""
+        self._enforce_reply_budget()
+        if self.awaiting_room and not self.uses_room_soon:
+            self.uses_room_soon = True
+            self.loop.call_soon(self._use_room)
+
+    def _use_room(self) -> None:
+        """Go on with the commands that wait for room, in the order in which they began to."""
+        self.uses_room_soon = False
+        for client in list(self.awaiting_room):
+            if client.replies.lacks_room():
+                return
+            client.go_on_parsing()
+
+    def _enforce_reply_budget(self) -> None:
+        """While too many reply bytes wait, replace replies of the connection that holds most by errors.
 
-        Many clients that send requests without reading the replies hold little each, but too much together.
+        The reply furthest behind goes first. Commands are held back before (``ReplyBudget``), so this only
+        happens where replies are larger than expected, or where many clients read nothing. These are aborted
+        by their stall timers.
         """
-        if self.unsent.is_exceeded():
+        while self.unsent.is_exceeded():
             holder = max(self.connections, key=lambda client: client.replies.unsent_bytes, default=None)
-            if holder:
-                holder.abort(CloseReason.UNSENT_BUDGET)
+            if holder is None or not holder.shed_last_reply():
+                return
 
     def unregister(self, client: Client) -> None:
         """Remove a connection from the open ones: it has ended, was transferred or is lingering."""
         self.connections.pop(client, None)
+        self.unsent.open_connections = len(self.connections)
+        self.awaiting_room.pop(client, None)
         if self.on_closed:
             self.on_closed(client)
 
--- a/quota_gateway/net/clients/replies.py
+++ b/quota_gateway/net/clients/replies.py
@@ -21,19 +21,23 @@
         self.request_id = request_id
         self.value: StreamedValue | None = None
 
+    def has_begun(self) -> bool:
+        """Whether the reply is there, or has begun to be streamed."""
+        return self.answer is not None or self.value is not None
+
     def fill(self, answer: bytes) -> None:
         """Set the command's reply. Not called after a disconnect, as the driver then drops the answer."""
-        self.answer = answer
-        self.connection.add_unsent_bytes(len(answer))
+        self.connection.replies.set_answer(self, answer)
         self.connection.flush()
 
     def begin(self, length: int, source: Source) -> StreamedValue | None:
         """Begin the command's reply as a streamed value; None if the client has disconnected."""
         if not self.connection.can_write_replies():
             return None
-        self.value = StreamedValue(self.connection, length, source)
+        value = StreamedValue(self.connection, length, source)
+        self.connection.replies.begin_value(self, value)
         self.connection.flush()
-        return self.value
+        return value
 
 
 class StreamedValue:
--- a/quota_gateway/net/clients/reply_queue.py
+++ b/quota_gateway/net/clients/reply_queue.py
@@ -6,10 +6,11 @@
 from collections import deque
 from enum import Enum
 
-from quota_gateway.net.clients.budget import ByteBudget
 from quota_gateway.net.clients.replies import ReplySlot, StreamedValue
+from quota_gateway.net.clients.reply_budget import ReplyBudget
 
 MAX_PIPELINED = 64  # commands of one connection in flight; more are read up to a limit, and wait
+SHED_REPLY = b"-ERR failed\r\n"  # in place of a reply for which there is no room
 
 
 class WriteOutcome(Enum):
@@ -23,10 +24,20 @@
 class ReplyQueue:
     """Replies in the order of their commands, and the number of bytes that are not written yet."""
 
-    __slots__ = ("_unsent_budget", "slots", "is_stuck", "unsent_bytes", "total_written_bytes")
-
-    def __init__(self, unsent_budget: ByteBudget) -> None:
-        self._unsent_budget = unsent_budget  # shared by all clients
+    __slots__ = (
+        "_budget",
+        "_unanswered",
+        "_awaited_behind",
+        "slots",
+        "is_stuck",
+        "unsent_bytes",
+        "total_written_bytes",
+    )
+
+    def __init__(self, budget: ReplyBudget) -> None:
+        self._budget = budget  # shared by all clients
+        self._unanswered = 0  # slots whose reply has not begun
+        self._awaited_behind = 0  # of these, those behind another one; counted in the budget
         self.slots: deque[ReplySlot] = deque()
         # The client does not read its replies: the transport buffers more than its high-water mark, which is
         # 64 KiB, or 0 from the first streamed value on.
@@ -38,18 +49,70 @@
         """Whether the maximum of commands is in flight."""
         return len(self.slots) >= MAX_PIPELINED
 
-    def count_unsent(self, added_bytes: int) -> None:
-        """Add to the bytes that wait to be written; negative when they are written or dropped."""
-        self.unsent_bytes += added_bytes
-        self._unsent_budget.add(added_bytes)
+    def must_hold_commands(self) -> bool:
+        """Whether a further command has to wait until replies have been written."""
+        return self.is_full() or self.lacks_room()
+
+    def lacks_room(self) -> bool:
+        """Whether the reply to a further command would have to wait, and there is no room for it."""
+        return bool(self.slots) and not self._budget.has_room(self.unsent_bytes, self._awaited_behind)
+
+    # ---- The replies
+
+    def append(self, slot: ReplySlot) -> None:
+        """Add the slot of the next command, with its reply if there is one already."""
+        self.slots.append(slot)
+        if slot.answer is None:
+            self._unanswered += 1
+        else:
+            self._count_unsent(len(slot.answer))
+        self._count_awaited()
+
+    def set_answer(self, slot: ReplySlot, answer: bytes) -> None:
+        """Set the reply of a command that has none yet."""
+        slot.answer = answer
+        self._unanswered -= 1
+        self._count_unsent(len(answer))
+        self._budget.expect_sizes_like(len(answer))
+        self._count_awaited()
+
+    def begin_value(self, slot: ReplySlot, value: StreamedValue) -> None:
+        """Begin to stream the reply of a command that has none yet."""
+        slot.value = value
+        self._unanswered -= 1
+        self._count_awaited()
+
+    def shed_last(self) -> bool:
+        """Replace the last complete reply by an error, as there is no room for it; false if there is none."""
+        for slot in reversed(self.slots):
+            if slot.answer is not None and len(slot.answer) > len(SHED_REPLY):
+                self._count_unsent(len(SHED_REPLY) - len(slot.answer))
+                slot.answer = SHED_REPLY
+                return True
+        return False
 
     def drop_all(self) -> deque[ReplySlot]:
         """Drop all replies of a client that no longer waits for them; returns their slots."""
         slots = self.slots
         self.slots = deque()
-        self.count_unsent(-self.unsent_bytes)
+        self._unanswered = 0
+        self._count_unsent(-self.unsent_bytes)
+        self._count_awaited()
         return slots
 
+    def _count_unsent(self, added_bytes: int) -> None:
+        self.unsent_bytes += added_bytes
+        self._budget.add(added_bytes)
+
+    def _count_awaited(self) -> None:
+        """Count the unanswered commands behind the first slot: their replies may have to wait."""
+        is_first_unanswered = bool(self.slots) and not self.slots[0].has_begun()
+        awaited_behind = self._unanswered - is_first_unanswered
+        self._budget.awaited_replies += awaited_behind - self._awaited_behind
+        self._awaited_behind = awaited_behind
+
+    # ---- Writing
+
     def write_due(self, transport: asyncio.Transport) -> WriteOutcome:
         """Write the replies that are due, in the order of their commands."""
         while self.slots and not self.is_stuck:
@@ -63,9 +126,10 @@
             elif slot.answer is None:
                 break
             else:
-                self.count_unsent(-len(slot.answer))
+                self._count_unsent(-len(slot.answer))
                 self._write(slot.answer, transport)
             self.slots.popleft()
+            self._count_awaited()
             if transport.is_closing():
                 return WriteOutcome.CONNECTION_CLOSING
         return WriteOutcome.DONE
--- a/quota_gateway/net/close_reason.py
+++ b/quota_gateway/net/close_reason.py
@@ -14,5 +14,4 @@
     IN_ORDER = "in order"  # between requests, or after the error reply that ends the connection
     VALUE_BROKE_OFF = "a long value broke off"  # only the close tells the client that the value is incomplete
     STALLED = "the client takes no replies"
-    UNSENT_BUDGET = "too many unsent bytes of replies"  # summed over all clients; this client had the most
     PROCESS_END = "the process ends"
--- a/quota_gateway/net/metrics.py
+++ b/quota_gateway/net/metrics.py
@@ -70,6 +70,8 @@
         self.disconnected_total = 0  # the client disconnected before its answer
         self.dropped: Counter[CloseReason] = Counter()  # this gateway closed the connection before the answer
         self.broken_off_total = 0  # of those served: the rest of a long value never came
+        self.shed_replies_total = 0  # of those served: an error went out, as too many bytes of replies waited
+        self.held_commands_total = 0  # times that a client's commands waited for room for their replies
         self.command_timeouts: Counter[AwaitedCommand] = Counter()  # connections that sent none in time
         self.late_total = 0  # of those served: later than the latency objective of their class
         self.attempts_total = 0
@@ -127,6 +129,8 @@
             "dropped": {reason.value: total for reason, total in self.dropped.items()},
             "unanswered": unanswered,
             "broken_off": self.broken_off_total,
+            "shed": self.shed_replies_total,
+            "held": self.held_commands_total,
             "command_timeouts": {awaited.value: total for awaited, total in self.command_timeouts.items()},
             "late": self.late_total,
             "attempts": self.attempts_total,
--- a/quota_gateway/rollout/figures.py
+++ b/quota_gateway/rollout/figures.py
@@ -13,6 +13,8 @@
     "requests": "asked",
     "rejected": "refused",
     "client_left": "gone",
+    "shed_replies": "shed",
+    "held_commands": "held",
     "in_flight": "in_hand",
     "peak_memory_kib": "memory_kb",
     "config_digest": "revision",
@@ -48,8 +50,9 @@
     """A gateway's report: the counts of its process since the start of that process.
 
     The keys and the latency buckets are those of `net.metrics`; buckets count served requests only.
-    `client_left`, `dropped`, `unanswered`, `broken_off`, `command_timeouts`, `in_flight`, `config_digest`
-    and `rejections_by_reason` are checked as a report is decoded, and not used by rollouts.
+    `client_left`, `dropped`, `unanswered`, `broken_off`, `shed_replies`, `held_commands`, `command_timeouts`,
+    `in_flight`, `config_digest` and `rejections_by_reason` are checked as a report is decoded, and not used
+    by rollouts.
     """
 
     pid: int = 0
@@ -61,6 +64,8 @@
     dropped: dict[str, int] = {}  # by reason: the gateway closed the connection
     unanswered: int = 0
     broken_off: int = 0  # served, but the rest of a long value was never received
+    shed_replies: int = 0  # served, but replaced by an error for lack of room
+    held_commands: int = 0  # times that a client's commands waited for room for their replies
     command_timeouts: dict[str, int] = {}  # by awaited command: connections that sent none in time
     late: int = 0  # served after the latency objective
     attempts: int = 0
