Clients: a command that waits has the time since its own read, not since the latest one

Cause: the dispatcher took the time of the connection's latest read for the arrival of each command that had waited. What the client sends meanwhile moved it on.

Change: the check of declared lengths counts the commands that are complete, and the stream keeps the time of each read that completed some. A deque entry for such a read, only while its commands wait: bounded by the bytes that may wait.

Result: tests/test_crossings.py, test_later_reads_do_not_give...: four commands had waited 1, 1, 1, 1 s by the code before, 3, 3, 1, 1 s now.

--- a/quota_gateway/net/clients/command_dispatcher.py
+++ b/quota_gateway/net/clients/command_dispatcher.py
@@ -46,9 +46,8 @@
     def _accept_request(self, client: Client, command: list[bytes]) -> None:
         driver = self._driver
         try:
-            # A command that had to wait because the maximum was in flight was received with the latest read
-            # or before it. Its client's timeout has been running at least since that read.
-            call = self.parser.parse(command, driver.clock() - client.last_read_ms)
+            # A command that waited for earlier ones: its client's timeout has been running since it was read.
+            call = self.parser.parse(command, driver.clock() - client.stream.latest_command_read_ms())
             request = call.request
             if request.request_id in driver.requests:
                 raise CommandError("a request of this id is in hand")
--- a/quota_gateway/net/clients/command_stream.py
+++ b/quota_gateway/net/clients/command_stream.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections import deque
+from typing import NamedTuple
+
 import hiredis
 
 from quota_gateway.errors import ProtocolError
@@ -12,20 +15,39 @@
 MAX_WORD_BYTES = 64 * 1024  # the protocol's limit for one value
 
 
+class Arrival(NamedTuple):
+    """Commands whose last bytes were read at the same time."""
+
+    commands_completed: int  # on the connection, up to and with these
+    read_ms: float
+
+
 class CommandStream:
     """The RESP parser of one connection, with a check of the lengths that the client declares."""
 
-    __slots__ = ("_reader", "_lengths", "bytes_since_command", "is_out_of_bounds")
+    __slots__ = (
+        "_reader",
+        "_lengths",
+        "_arrivals",
+        "_commands_parsed",
+        "bytes_since_command",
+        "is_out_of_bounds",
+    )
 
     def __init__(self) -> None:
         self._reader = hiredis.Reader(replyError=CommandError)
         self._lengths = DeclaredLengths(MAX_WORD_BYTES)
+        self._arrivals: deque[Arrival] = deque()  # of commands that are not parsed yet
+        self._commands_parsed = 0
         self.bytes_since_command = 0  # after the latest command; the parser may hold up to a read more
         self.is_out_of_bounds = False  # after an invalid declared length nothing is parsed
 
-    def feed(self, data: bytes) -> None:
-        """Add received bytes; those after an invalid or too large declared length never reach the parser."""
+    def feed(self, data: bytes, read_ms: float) -> None:
+        """Add bytes read at this time; those after an invalid or too large length never reach the parser."""
+        completed_before = self._lengths.arrays_completed
         valid = self._lengths.count_valid(data)
+        if self._lengths.arrays_completed > completed_before:
+            self._arrivals.append(Arrival(self._lengths.arrays_completed, read_ms))
         self.is_out_of_bounds = valid < len(data)
         self._reader.feed(data[:valid] if self.is_out_of_bounds else data)
         self.bytes_since_command += valid
@@ -38,11 +60,18 @@
             raise ProtocolError(f"malformed RESP from a client: {error!r}") from None
         if command is not False:
             self.bytes_since_command = 0
+            self._commands_parsed += 1
             return command
         if self.is_out_of_bounds or self.bytes_since_command > MAX_COMMAND_BYTES:
             raise ProtocolError("a client's command exceeds a length limit or declares an invalid length")
         return None
 
+    def latest_command_read_ms(self) -> float:
+        """When the last byte of the latest parsed command was read."""
+        while len(self._arrivals) > 1 and self._arrivals[0].commands_completed < self._commands_parsed:
+            self._arrivals.popleft()
+        return self._arrivals[0].read_ms
+
     def is_within_command(self) -> bool:
         """Whether the bytes received so far end in the middle of a command."""
         return self._lengths.is_incomplete()
--- a/quota_gateway/net/clients/connection.py
+++ b/quota_gateway/net/clients/connection.py
@@ -78,7 +78,6 @@
         self.command_timer = CommandTimer(clients.loop)
         self.is_parsing = False
         self.is_parsing_blocked = False  # as the maximum is in flight, or the client reads no replies
-        self.last_read_ms = 0.0  # time of the latest read, by the driver's clock
         self.bad_commands = 0  # consecutive ones
         self.total_read_bytes = 0
 
@@ -175,9 +174,8 @@
     def _take_bytes(self, data: bytes) -> None:
         self.clients.connections.move_to_end(self)  # most recently used: evicted last
         self.idle_since = self.clients.loop.time()
-        self.last_read_ms = self.clients.driver.clock()
         self.command_timer.on_bytes()
-        self.stream.feed(data)
+        self.stream.feed(data, self.clients.driver.clock())
         self._parse()
 
     def _parse(self) -> None:
--- a/quota_gateway/net/declared_lengths.py
+++ b/quota_gateway/net/declared_lengths.py
@@ -54,7 +54,15 @@
     With ``is_replies``, single-line values and nulls are valid too, as servers send them.
     """
 
-    __slots__ = ("_max_word_bytes", "_is_replies", "_words_left", "_word_bytes_left", "_header", "_in_line")
+    __slots__ = (
+        "_max_word_bytes",
+        "_is_replies",
+        "_words_left",
+        "_word_bytes_left",
+        "_header",
+        "_in_line",
+        "arrays_completed",
+    )
 
     def __init__(self, max_word_bytes: int, is_replies: bool = False) -> None:
         self._max_word_bytes = max_word_bytes
@@ -63,6 +71,7 @@
         self._word_bytes_left = 0  # of the word and the line end after it
         self._header = b""  # start of a header whose end has not been received
         self._in_line = False
+        self.arrays_completed = 0  # whose last word ended so far; without arrays that end in a line or a null
 
     def count_valid(self, data: bytes) -> int:
         """How many of these bytes may go to the parser: all, or those before the first invalid one."""
@@ -78,6 +87,7 @@
                     return position
                 self._word_bytes_left -= 1
                 position += 1
+                self.arrays_completed += not (self._word_bytes_left or self._words_left)
             elif self._in_line or (self._is_replies and not self._header and data[position] in LINE_KINDS):
                 position = self._skip_line(data, position)
             else:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -15,6 +15,7 @@
 from quota_gateway import Plan, SetServing
 from quota_gateway.net.clients import connection as connection_module
 from quota_gateway.net.clients import registry as registry_module
+from quota_gateway.net.clients import reply_queue as reply_queue_module
 from quota_gateway.net.clients.reply_queue import MAX_PIPELINED
 
 TOO_MANY_CONNECTIONS = b"-ERR max number of clients reached\r\n"
@@ -359,6 +360,38 @@
     run(test())
 
 
+def test_later_reads_do_not_give_a_command_that_waits_more_time(monkeypatch):
+    """A command waits behind others while its client sends more.
+
+    It was taken to have waited since the latest read: the server was told more time than the client had left.
+    """
+    monkeypatch.setattr(reply_queue_module, "MAX_PIPELINED", 1)
+    classes = tuple(
+        replace(item, latency_objective_ms=60_000.0, deadline_ms=60_000.0) for item in SETTINGS.classes
+    )
+
+    async def test():
+        fake = FakeServer(lambda words: server_reply(b"v") if int(words[2], 16) else None)
+        async with local_gateway(fake, classes=classes) as gateway:
+            raw = RawClient(port(gateway))
+            half = call(3, timeout_ms=6000)[:20]
+            raw.send(call(0, timeout_ms=60_000), call(1, timeout_ms=6000), call(2, timeout_ms=6000), half)
+            await fake.until(lambda: len(fake.commands) == 1)
+            (client,) = gateway.clients.connections
+            clock = gateway.driver.clock
+            gateway.driver.clock = lambda: clock() + 2000.0
+            before = client.total_read_bytes
+            raw.send(call(3, timeout_ms=6000)[20:], call(4, timeout_ms=6000))
+            await until(lambda: client.total_read_bytes > before)
+            gateway.driver.clock = lambda: clock() + 3000.0
+            fake.writers[0].write(server_reply(b"v"))
+            await fake.until(lambda: len(fake.commands) == 5)
+            left_ms = [sent_timeout_ms(words) for words in fake.commands[1:]]
+            assert [round((6000 - left) / 1000) for left in left_ms] == [3, 3, 1, 1]
+
+    run(test())
+
+
 def sent_timeout_ms(words: list[bytes]) -> int:
     """The timeout in a command that was sent to a server, in ms."""
     return int(dict(part.split(b"=") for part in words[3].split(b","))[b"d"])
