--- a/quota_gateway/net/servers/connection.py
+++ b/quota_gateway/net/servers/connection.py
@@ -185,6 +185,8 @@
             decoded = self._stream(data) if self.sink else self.decoder.feed(data, self.attempt is not None)
         except ProtocolError as error:
             log.warning("invalid reply from a server (%s), closing its connection: %.100r", error, data)
+            if self.attempt is None:
+                self.pool.on_second_reply(self.host)
             self.close(api.Status.ERROR)
             return
         if isinstance(decoded, LongValueBegun):
@@ -199,6 +201,8 @@
         attempt = self.attempt
         self.attempt = None
         reply = self.pool.reply_reader.read(decoded.parsed) if attempt else None
+        if reply is None or (decoded.has_more and not reply.malformed):
+            self.pool.on_second_reply(self.host)
         if reply is None or not decoded.is_clean or reply.malformed:
             # Later bytes could not be told apart from the next reply. The attempt is already detached from
             # the connection: it ends with its reply below, not with this status.
--- a/quota_gateway/net/servers/endpoint.py
+++ b/quota_gateway/net/servers/endpoint.py
@@ -17,7 +17,17 @@
     closed instead of used.
     """
 
-    __slots__ = ("number", "address", "started_ms", "listed", "ready", "idle", "epoch", "reported_idle")
+    __slots__ = (
+        "number",
+        "address",
+        "started_ms",
+        "listed",
+        "ready",
+        "repeats_replies",
+        "idle",
+        "epoch",
+        "reported_idle",
+    )
 
     def __init__(self, number: int) -> None:
         self.number = number
@@ -26,5 +36,6 @@
         self.epoch = 0
         self.listed = False  # listed as ready
         self.ready = False  # listed as ready and not set down by an operator
+        self.repeats_replies = False  # has sent bytes that no command had asked for
         self.idle: list[PooledConnection] = []  # ordered by last use, the most recent at the end
         self.reported_idle = False  # what the policy code was last told: at least one connection is idle
--- a/quota_gateway/net/servers/pool.py
+++ b/quota_gateway/net/servers/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 from collections.abc import Callable, Mapping
 from contextlib import suppress
@@ -14,6 +15,8 @@
 from quota_gateway.net.servers.endpoint import Address, ServerEndpoint
 from quota_gateway.net.servers.replies import Reply, ReplyReader
 
+log = logging.getLogger(__name__)
+
 IDLE_LIMIT_RATIO = 0.4  # of the servers' idle timeout: idle connections are closed well before servers do it
 READ_BYTES = 64 * 1024
 MIN_READ_BYTES = 4 * 1024
@@ -30,12 +33,14 @@
     reuses: int = 0  # attempts sent on a connection that was idle
     evicted: int = 0  # idle connections closed to make room for others
     rejected: int = 0  # attempts that failed because no more connections were allowed
+    second_replies: int = 0  # times that a server sent bytes which no command had asked for
 
     def describe(self) -> str:
         """The counts as text, for the reply to the admin command POOLS."""
         return (
             f"{self.handshakes} handshakes, {self.reuses} reuses, {self.evicted} evicted, "
-            f"{self.rejected} turned away for want of room since the last look"
+            f"{self.rejected} turned away for want of room, {self.second_replies} second replies "
+            "since the last look"
         )
 
 
@@ -85,6 +90,7 @@
         host = self.hosts.setdefault(entry.server, ServerEndpoint(entry.server))
         # After a server has restarted or moved, nothing may be sent on its older connections.
         is_same_process = host.address == address and host.started_ms == entry.started_ms
+        host.repeats_replies = host.repeats_replies and is_same_process
         host.address = address
         host.started_ms = entry.started_ms
         host.listed = entry.state is api.ServerState.READY
@@ -137,7 +143,8 @@
         """The most recently used idle connection whose last reply is at least ``REUSE_DELAY_S`` old.
 
         A server may send a reply twice. If the second copy arrived after the next command was sent, it would
-        be taken for that command's reply. On an idle connection, any bytes received close it.
+        be taken for that command's reply. On an idle connection, any bytes received close it, and no
+        connection to that server is used again (``on_second_reply``).
         """
         cutoff = self.loop.time() - REUSE_DELAY_S
         return next((candidate for candidate in reversed(host.idle) if candidate.idle_since <= cutoff), None)
@@ -184,17 +191,33 @@
         """Make a connection idle after a complete reply, or once it is adopted.
 
         During a hot restart it is passed on to the next process instead. It is closed if its server has
-        changed meanwhile or the pool is over its limit.
+        changed meanwhile or repeats replies, or the pool is over its limit.
         """
-        if connection.closed or connection.epoch != connection.host.epoch or self._is_over_limit():
+        host = connection.host
+        is_reusable = connection.epoch == host.epoch and not host.repeats_replies
+        if connection.closed or not is_reusable or self._is_over_limit():
             connection.close(api.Status.RESET)
             return
         if self.transfer:
             self._transfer_or_close(connection)
             return
         connection.become_idle()
-        connection.host.idle.append(connection)
-        self._report_idle(connection.host)
+        host.idle.append(connection)
+        self._report_idle(host)
+
+    def on_second_reply(self, host: ServerEndpoint) -> None:
+        """Use no connection to this server a second time, as it has sent bytes that no command had asked for.
+
+        A second reply may come at any time, for a server may stand still in between. On a connection that is
+        in use again it would be taken for the reply to the command in flight, which is another customer's.
+        """
+        self.counts.second_replies += 1
+        if host.repeats_replies:
+            return
+        host.repeats_replies = True
+        log.warning("the server at %s:%d repeats replies: its connections are used once", *host.address)
+        for connection in list(host.idle):
+            connection.close(api.Status.RESET)
 
     def close_idle(self, server: int) -> None:
         """Close the idle connections to a server."""
--- a/quota_gateway/net/servers/reply_decoder.py
+++ b/quota_gateway/net/servers/reply_decoder.py
@@ -23,6 +23,7 @@
 
     parsed: object  # False: an incomplete reply that is too long, or that no attempt waits for
     is_clean: bool
+    has_more: bool  # bytes follow the complete reply
 
 
 class LongValueBegun(NamedTuple):
@@ -92,7 +93,7 @@
             return None
         self._unparsed_bytes = 0
         self._is_head_read = False
-        return DecodedReply(parsed, is_complete and not has_more)
+        return DecodedReply(parsed, is_complete and not has_more, is_complete and has_more)
 
     # ---- Streamed values
 
--- a/tests/test_connection_news.py
+++ b/tests/test_connection_news.py
@@ -117,7 +117,7 @@
                 True,
                 (
                     "1 open (1 idle, 0 opening) of 2 to 1 servers; 1 handshakes, 2 reuses, 0 evicted, "
-                    "0 turned away for want of room since the last look"
+                    "0 turned away for want of room, 0 second replies since the last look"
                 ),
             )
             peer.send(call(1), call(17))
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -251,10 +251,46 @@
             peer = await gateway.connect_client()
             assert await peer.ask(call(1)) == b"%016x" % 1
             assert await peer.ask(call(2)) == b"%016x" % 2
-            await fake.until(
-                lambda: fake.closed_connections == 1
-            )  # the reply without a request has closed its connection
+            # The reply without a request has closed its connection; the other one is used once.
+            await fake.until(lambda: fake.closed_connections == 2)
             assert await peer.ask(call(3)) == b"%016x" % 3
+            assert fake.connection_numbers == [0, 1, 2]
+
+    run(test())
+
+
+@pytest.mark.usefixtures("immediate_connection_reuse")
+@pytest.mark.parametrize("is_glued", [True, False])
+def test_no_connection_to_a_server_that_repeats_a_reply_is_used_again_until_it_restarts(is_glued):
+    """A server repeats replies, some of them after it has stood still for a part of a second.
+
+    Such a reply was served to the client whose request was in flight on that connection by then.
+    """
+
+    async def test():
+        def answer(words):
+            reply = server_reply(words[2])
+            if words[2].endswith(b"3") and not fake.writers[1].is_closing():
+                fake.writers[1].write(server_reply(b"%016x" % 2))  # of the request before, once more
+            return reply * 2 if words[2].endswith(b"1") and is_glued else reply
+
+        fake, other = FakeServer(answer), FakeServer()
+        async with local_gateway(fake) as gateway:
+            peer = await gateway.connect_client()
+            assert await peer.ask(call(1)) == b"%016x" % 1
+            if not is_glued:
+                fake.writers[0].write(server_reply(b"%016x" % 1))
+            await fake.until(lambda: fake.closed_connections == 1)
+            assert await peer.ask(call(2)) == b"%016x" % 2
+            assert await peer.ask(call(3)) == b"%016x" % 3
+            assert fake.connection_numbers == [0, 1, 2]
+            assert "1 second replies" in gateway.servers.describe_and_reset()
+
+            await other.start()
+            gateway.update_servers(other.entry(1), kind=ListKind.CHANGES)  # it has restarted elsewhere
+            assert await peer.ask(call(4)) == b"%016x" % 4
+            assert await peer.ask(call(5)) == b"%016x" % 5
+            assert other.connection_numbers == [0, 0]
 
     run(test())
 
