Clients: the size expected of replies is learned from values alone

Rejections are a few bytes, and a hundred of them in a row (a full queue, a used up quota) let the expected size fall to an eighth, so that values behind a heavy request would then have been more than there is room for, and the last ones errors.

Change: only replies with a value count. The comment on a blocked parser names all three reasons.

--- a/quota_gateway/net/clients/connection.py
+++ b/quota_gateway/net/clients/connection.py
@@ -77,7 +77,7 @@
         self.throttle = ReadThrottle(clients.waiting)
         self.command_timer = CommandTimer(clients.loop)
         self.is_parsing = False
-        self.is_parsing_blocked = False  # as the maximum is in flight, or the client reads no replies
+        self.is_parsing_blocked = False  # a command has to wait: maximum in flight, no room, replies unread
         self.bad_commands = 0  # consecutive ones
         self.total_read_bytes = 0
 
--- a/quota_gateway/net/clients/reply_queue.py
+++ b/quota_gateway/net/clients/reply_queue.py
@@ -10,6 +10,7 @@
 from quota_gateway.net.clients.reply_budget import ReplyBudget
 
 MAX_PIPELINED = 64  # commands of one connection in flight; more are read up to a limit, and wait
+VALUE_PREFIX = b"$"  # of the reply to a request that was served; all other replies are short
 SHED_REPLY = b"-ERR failed\r\n"  # in place of a reply for which there is no room
 
 
@@ -73,7 +74,8 @@
         slot.answer = answer
         self._unanswered -= 1
         self._count_unsent(len(answer))
-        self._budget.expect_sizes_like(len(answer))
+        if answer.startswith(VALUE_PREFIX):
+            self._budget.expect_sizes_like(len(answer))
         self._count_awaited()
 
     def begin_value(self, slot: ReplySlot, value: StreamedValue) -> None:
