Clients: a slow reader's progress is what its kernel has acknowledged, not our buffer alone

Cause: the same kind as the limit on replies that wait: a limit on clients that do not read measured what this process holds. The write buffer shrinks only once a large part of the kernel's send buffer is free, megabytes on loopback.

Evidence: between two looks of the timer the test's client reads 8 KiB; the acknowledged bytes grow each time and the write buffer does not. Without the count the connection is aborted at the first look, with "the client takes no replies".

Change: progress is a smaller buffer or more acknowledged bytes, which stop where the client does not read. It is asked once a timeout, for connections that are stuck. Silent clients are given up as before: the same test, second part.

Not played at 30 kB/s for minutes.

--- a/quota_gateway/net/tcp_info.py
+++ b/quota_gateway/net/tcp_info.py
@@ -34,6 +34,11 @@
     return acknowledged + unacknowledged
 
 
+def bytes_acknowledged(descriptor: int) -> int:
+    """Bytes written that the peer's kernel has acknowledged, plus a constant offset. Raises OSError."""
+    return _tcp_info_counter(descriptor, BYTES_ACKED_OFFSET)
+
+
 def _counter_with_queue(descriptor: int, offset: int, request: int) -> tuple[int, int]:
     """A counter and the size of the queue that belongs to it, consistent with each other.
 
--- a/tests/test_long_values.py
+++ b/tests/test_long_values.py
@@ -9,6 +9,7 @@
 
 from quota_gateway import AttemptEnded, Limits, Status, StreamStarted
 from quota_gateway.net.clients import command_timer as command_timer_module
+from quota_gateway.net.clients.stall_timer import Progress
 from quota_gateway.net.declared_lengths import MAX_VALUE_BYTES, STREAMED_VALUE_BYTES, parse_long_value_head
 from quota_gateway.net.servers import connection as connection_module
 from quota_gateway.net.servers import pool as pool_module
@@ -215,6 +216,38 @@
     return raw
 
 
+def test_client_that_reads_slowly_is_not_given_up_and_one_that_stops_is():
+    """A client reads steadily, but less in a timeout than the kernel's buffer needs to take more from us.
+
+    It counted as one that takes no replies, and lost its value and the requests behind it.
+    """
+
+    async def test():
+        server = server_silent_on(1)
+        async with local_gateway(server) as gateway:
+            raw = RawClient(gateway.clients.listener.getsockname()[1], receive_buffer_bytes=4096)
+            raw.send(call(1))
+            await server.until(lambda: len(server.commands) == 1)
+            writer(server, 1).transport.set_write_buffer_limits(2 * LENGTH)
+            writer(server, 1).write(HEAD + VALUE + TAIL)
+            (client,) = gateway.clients.connections
+            await until(lambda: client.replies.is_stuck)
+            buffered_bytes = client.transport.get_write_buffer_size()
+            for _ in range(3):
+                before = Progress.of(client.transport)
+                await raw.read(8192)
+                await until(lambda before=before: Progress.of(client.transport)[1] > before[1])
+                client.stall_timer.check(client.transport, client._on_stalled)
+            assert client.transport.get_write_buffer_size() == buffered_bytes
+            assert not client.transport.is_closing()
+            while gateway.clients.connections:  # acknowledgements of what was read may still come
+                client.stall_timer.check(client.transport, client._on_stalled)
+                await asyncio.sleep(0.01)
+            raw.sock.close()
+
+    run(test())
+
+
 def test_client_that_took_a_long_value_slowly_is_read_again():
     """The gateway reads nothing from a client while it is slow to take its reply, but has to resume later.
 
