Kernel's byte counts: no descriptor is duplicated, and a short struct is an OSError

Need: the stall timer asks for the counts in the ordinary run, where a call that fails must not end the connection, and where a second descriptor per call is one that the bounds do not count.

Change: the socket object borrows the descriptor, as net/sockets.py does. A closed socket or a struct tcp_info without the counts raises OSError, which every caller handles.

--- a/quota_gateway/net/tcp_info.py
+++ b/quota_gateway/net/tcp_info.py
@@ -4,7 +4,6 @@
 
 import errno
 import fcntl
-import os
 import socket
 import struct
 import termios
@@ -56,8 +55,15 @@
 
 
 def _tcp_info_counter(descriptor: int, offset: int) -> int:
-    with socket.socket(fileno=os.dup(descriptor)) as sock:
+    if descriptor < 0:
+        raise OSError(errno.EBADF, "the socket has been closed")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=descriptor)
+    try:
         info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    finally:
+        sock.detach()
+    if len(info) < TCP_INFO_BYTES:
+        raise OSError(errno.ENOPROTOOPT, "the kernel's struct tcp_info has no byte counts")
     (count,) = COUNTER.unpack_from(info, offset)
     return int(count)
 
--- a/tests/test_tcp_info.py
+++ b/tests/test_tcp_info.py
@@ -47,3 +47,15 @@
     monkeypatch.setattr(tcp_info, "_tcp_info_counter", lambda descriptor, offset: next(counter))
     with near, far, pytest.raises(BlockingIOError):
         tcp_info.bytes_consumed(far.fileno())
+
+
+def test_counter_of_a_closed_socket_or_of_a_kernel_without_it_raises_os_error(monkeypatch):
+    near, far = connected_sockets()
+    with near, far:
+        descriptor = far.fileno()
+        assert tcp_info.bytes_acknowledged(descriptor) >= 0
+        monkeypatch.setattr(tcp_info, "TCP_INFO_BYTES", 1 << 10)  # more than any kernel fills
+        with pytest.raises(OSError, match="no byte counts"):
+            tcp_info.bytes_acknowledged(descriptor)
+    with pytest.raises(OSError, match="closed"):
+        tcp_info.bytes_acknowledged(far.fileno())
