Clients: the budgets over all clients are named after what they bound

Need: clients.unsent and clients.waiting were named after a state of the bytes, and both hold bytes that wait.

Change: reply_budget and command_budget, in code and tests; one assertion of the budget's test reads plainly.

Result: the tests of the part pass; no code differs but by names.

--- a/quota_gateway/net/clients/connection.py
+++ b/quota_gateway/net/clients/connection.py
@@ -74,7 +74,7 @@
 
         # Incoming commands
         self.stream = CommandStream()
-        self.throttle = ReadThrottle(clients.waiting)
+        self.throttle = ReadThrottle(clients.command_budget)
         self.command_timer = CommandTimer(clients.loop)
         self.is_parsing = False
         self.is_parsing_blocked = False  # a command has to wait: maximum in flight, no room, replies unread
@@ -82,7 +82,7 @@
         self.total_read_bytes = 0
 
         # Outgoing replies
-        self.replies = ReplyQueue(clients.unsent)
+        self.replies = ReplyQueue(clients.reply_budget)
         self.has_shed = False  # a reply was replaced by an error, for lack of room
         self.stall_timer = StallTimer()
 
--- a/quota_gateway/net/clients/registry.py
+++ b/quota_gateway/net/clients/registry.py
@@ -40,8 +40,8 @@
         self.connections: OrderedDict[Client, None] = OrderedDict()  # least recently used first
         self.lingering: dict[Client, None] = {}  # half-closed connections, whose input is discarded
         self.adopting: set[asyncio.Task[None]] = set()  # create the transports of adopted sockets
-        self.waiting = ByteBudget(MAX_WAITING_BYTES)
-        self.unsent = ReplyBudget(most_connections)
+        self.command_budget = ByteBudget(MAX_WAITING_BYTES)
+        self.reply_budget = ReplyBudget(most_connections)
         self.awaiting_room: dict[Client, None] = {}  # their commands wait for room for the replies
         self.uses_room_soon = False  # ``_use_room`` is scheduled
 
@@ -151,7 +151,7 @@
         """
         self.dispatcher.reconfigure(settings)
         self.most_connections = most_connections
-        self.unsent.divide(most_connections)
+        self.reply_budget.divide(most_connections)
         for client in list(self.connections):
             if not self.is_over_limit():
                 break
@@ -175,7 +175,7 @@
         too.
         """
         self.connections[client] = None
-        self.unsent.open_connections = len(self.connections)
+        self.reply_budget.open_connections = len(self.connections)
         if self.on_opened:
             self.on_opened(client)
         if not self.is_over_limit():
@@ -234,7 +234,7 @@
         happens where replies are larger than expected, or where many clients read nothing. These are aborted
         by their stall timers.
         """
-        while self.unsent.is_exceeded():
+        while self.reply_budget.is_exceeded():
             holder = max(self.connections, key=lambda client: client.replies.unsent_bytes, default=None)
             if holder is None or not holder.shed_last_reply():
                 return
@@ -242,7 +242,7 @@
     def unregister(self, client: Client) -> None:
         """Remove a connection from the open ones: it has ended, was transferred or is lingering."""
         self.connections.pop(client, None)
-        self.unsent.open_connections = len(self.connections)
+        self.reply_budget.open_connections = len(self.connections)
         self.awaiting_room.pop(client, None)
         if self.on_closed:
             self.on_closed(client)
--- a/tests/test_reply_budget.py
+++ b/tests/test_reply_budget.py
@@ -1,7 +1,5 @@
 """Replies that wait have one limit over all clients, and no request is lost to it."""
 
-import asyncio
-
 import pytest
 from fakes import FakeServer, LocalGateway, RawClient, RespClient, call, local_gateway, resp, run, until
 
@@ -51,7 +49,7 @@
 
         def on_changed() -> None:
             on_replies_changed()
-            self.bytes = max(self.bytes, clients.unsent.used_bytes)
+            self.bytes = max(self.bytes, clients.reply_budget.used_bytes)
 
         clients.on_replies_changed = on_changed
 
@@ -98,7 +96,10 @@
             assert 0 < peak.bytes <= LIMIT_BYTES
             assert gateway.driver.metrics.shed_replies_total == 0
             assert gateway.driver.metrics.held_commands_total > 0
-            assert (gateway.clients.unsent.used_bytes, gateway.clients.unsent.awaited_replies) == (0, 0)
+            assert (
+                gateway.clients.reply_budget.used_bytes,
+                gateway.clients.reply_budget.awaited_replies,
+            ) == (0, 0)
 
     run(test())
 
@@ -136,14 +137,14 @@
         server = HeavyServer()
         async with local_gateway(server) as gateway:
             peak = Peak(gateway)
-            gateway.clients.unsent.expected_bytes = 100.0
+            gateway.clients.reply_budget.expected_bytes = 100.0
             few, many = await gateway.connect_client(), await gateway.connect_client()
             few.send(*(call(number) for number in numbers(0, 3)))
-            await until(lambda: gateway.clients.unsent.used_bytes == 2 * len(bulk(bytes(16) + BODY)))
-            gateway.clients.unsent.expected_bytes = 100.0
+            await until(lambda: gateway.clients.reply_budget.used_bytes == 2 * len(bulk(bytes(16) + BODY)))
+            gateway.clients.reply_budget.expected_bytes = 100.0
             many.send(*(call(number) for number in numbers(1, 16)))
             await until(lambda: len(gateway.driver.requests) == 2)
-            assert await asyncio.sleep(0, gateway.clients.unsent.used_bytes) <= LIMIT_BYTES
+            assert gateway.clients.reply_budget.used_bytes <= LIMIT_BYTES
             server.answer_heavy()
             assert await ids_of(few, 3) == numbers(0, 3)
             ids = await ids_of(many, 16)
@@ -181,7 +182,10 @@
             for peer in silent:
                 peer.sock.close()
             await until(lambda: len(gateway.clients.connections) == 1)
-            assert (gateway.clients.unsent.used_bytes, gateway.clients.unsent.awaited_replies) == (0, 0)
+            assert (
+                gateway.clients.reply_budget.used_bytes,
+                gateway.clients.reply_budget.awaited_replies,
+            ) == (0, 0)
 
     run(test())
 
@@ -222,8 +226,8 @@
             await server.until(lambda: len(server.commands) == 1)
             (connection,) = gateway.clients.connections
             await until(lambda: len(connection.replies.slots) == 3)
-            assert gateway.clients.unsent.used_bytes == 2 * len(b"+PONG\r\n")
-            assert gateway.clients.unsent.awaited_replies == 0
+            assert gateway.clients.reply_budget.used_bytes == 2 * len(b"+PONG\r\n")
+            assert gateway.clients.reply_budget.awaited_replies == 0
             server.answer_heavy()
             assert await ids_of(client, 1) == [HEAVY]
             assert [await client.reply(), await client.reply()] == [b"PONG", b"PONG"]
--- a/tests/test_request_outcomes.py
+++ b/tests/test_request_outcomes.py
@@ -126,7 +126,10 @@
             assert is_accounted_for(gateway)
         await until(lambda: not gateway.clients.connections)
         assert gateway.driver.metrics.requests_total == gateway.driver.metrics.ended_total()
-        assert (gateway.clients.unsent.used_bytes, gateway.clients.unsent.awaited_replies) == (0, 0)
+        assert (gateway.clients.reply_budget.used_bytes, gateway.clients.reply_budget.awaited_replies) == (
+            0,
+            0,
+        )
         assert not gateway.clients.awaiting_room
 
     run(test())
