--- a/tests/test_request_outcomes.py
+++ b/tests/test_request_outcomes.py
@@ -9,6 +9,7 @@
 from fakes import FakeServer, RawClient, call, local_gateway, resp, run, server_reply, until
 
 from quota_gateway.net.clients import command_timer as command_timer_module
+from quota_gateway.net.clients import reply_budget as reply_budget_module
 from quota_gateway.net.clients import stall_timer as stall_timer_module
 from quota_gateway.net.close_reason import CloseReason
 from quota_gateway.net.metrics import AwaitedCommand
@@ -19,6 +20,7 @@
 LONG_VALUE = b"$%d\r\n" % LONG_VALUE_BYTES + bytes(LONG_VALUE_BYTES) + b"\r\n"
 ANSWERS = {
     "value": server_reply(b"v"),
+    "value that may have to wait": server_reply(bytes(20_000)),
     "long value": b"*3\r\n" + LONG_VALUE + b"$-1\r\n$-1\r\n",
     "error": b"-ERR failed\r\n",
     "overloaded": b"-BUSY\r\n",
@@ -100,9 +102,12 @@
     """Clients send, read slowly, pause and disconnect while servers reply, fail, disconnect or stay silent.
 
     A request without an outcome leaves its client waiting; one with two is counted wrongly. If reading does
-    not resume for a client that has caught up with its replies, its next request is never seen.
+    not resume for a client that has caught up with its replies, its next request is never seen. In half of
+    the plays there is little room for replies that wait, so that commands wait for room and replies are shed.
     """
     monkeypatch.setattr(command_timer_module, "COMMAND_TIMEOUT_S", 60.0)  # a client may start idle
+    if seed % 2:
+        monkeypatch.setattr(reply_budget_module, "MAX_UNSENT_BYTES", 60_000)
     rng = random.Random(seed)
 
     async def test():
@@ -114,6 +119,7 @@
                 for _ in range(rng.randint(0, 30)):
                     await until(lambda: True)
                     assert is_accounted_for(gateway)
+                    assert not gateway.clients.reply_budget.is_exceeded()
             clock = gateway.driver.clock
             gateway.driver.clock = lambda: clock() + 60_000.0  # after all deadlines
             gateway.driver.timers.fire()
