--- a/tests/test_long_values.py
+++ b/tests/test_long_values.py
@@ -8,6 +8,7 @@
 from fakes import FakeServer, RawClient, call, local_gateway, resp, run, until
 
 from quota_gateway import AttemptEnded, Limits, Status, StreamStarted
+from quota_gateway.net.clients import Client
 from quota_gateway.net.clients import command_timer as command_timer_module
 from quota_gateway.net.clients.stall_timer import Progress
 from quota_gateway.net.declared_lengths import MAX_VALUE_BYTES, STREAMED_VALUE_BYTES, parse_long_value_head
@@ -199,8 +200,10 @@
     run(test())
 
 
-async def client_that_read_a_long_value_slowly(gateway, server: FakeServer, behind: bytes = b"") -> RawClient:
-    """A client that left its reply unread until the gateway could write no more, and then read all of it.
+async def client_with_a_long_value_unread(
+    gateway, server: FakeServer, behind: bytes = b""
+) -> tuple[RawClient, Client]:
+    """A client that leaves its reply unread until the gateway can write no more, and its connection there.
 
     ``behind``: what it has sent behind its request.
     """
@@ -211,6 +214,12 @@
     writer(server, 1).write(HEAD + VALUE + TAIL)
     (client,) = gateway.clients.connections
     await until(lambda: client.replies.is_stuck)
+    return raw, client
+
+
+async def client_that_read_a_long_value_slowly(gateway, server: FakeServer, behind: bytes = b"") -> RawClient:
+    """A client that left its reply unread until the gateway could write no more, and then read all of it."""
+    raw, client = await client_with_a_long_value_unread(gateway, server, behind)
     await raw.read(len(b"$%d\r\n" % LENGTH) + LENGTH + 2)
     await until(lambda: not client.replies.is_stuck)
     return raw
@@ -225,13 +234,7 @@
     async def test():
         server = server_silent_on(1)
         async with local_gateway(server) as gateway:
-            raw = RawClient(gateway.clients.listener.getsockname()[1], receive_buffer_bytes=4096)
-            raw.send(call(1))
-            await server.until(lambda: len(server.commands) == 1)
-            writer(server, 1).transport.set_write_buffer_limits(2 * LENGTH)
-            writer(server, 1).write(HEAD + VALUE + TAIL)
-            (client,) = gateway.clients.connections
-            await until(lambda: client.replies.is_stuck)
+            raw, client = await client_with_a_long_value_unread(gateway, server)
             buffered_bytes = client.transport.get_write_buffer_size()
             for _ in range(3):
                 before = Progress.of(client.transport)
@@ -290,14 +293,8 @@
     async def test():
         server = server_silent_on(1)
         async with local_gateway(server) as gateway:
-            raw = RawClient(gateway.clients.listener.getsockname()[1], receive_buffer_bytes=4096)
             second = call(2)
-            raw.send(call(1), second[:20])
-            await server.until(lambda: len(server.commands) == 1)
-            (client,) = gateway.clients.connections
-            writer(server, 1).transport.set_write_buffer_limits(2 * LENGTH)
-            writer(server, 1).write(HEAD + VALUE + TAIL)
-            await until(lambda: client.replies.is_stuck)
+            raw, _ = await client_with_a_long_value_unread(gateway, server, second[:20])
             raw.send(second[20:], call(3))
             await asyncio.sleep(0.3)
             await raw.read(len(b"$%d\r\n" % LENGTH) + LENGTH + 2)
