--- a/review/rig2.py
+++ b/review/rig2.py
@@ -242,12 +242,16 @@
         self.folder = folder
         self.record = record
         self.processes: list[subprocess.Popen[bytes]] = []
+        self.listener: socket.socket | None = None
         (folder / "tmp").mkdir()
 
-    def start(
-        self, config: dict[str, object], admin: str | None = None, cpu: int | None = None
-    ) -> subprocess.Popen[bytes]:
-        """Start one process. ``cpu``: it runs on this core only, as on the platform's gateways."""
+    def hold_listener(self, config: dict[str, object]) -> None:
+        """Hold the clients' listening socket, as the platform does; processes inherit it as descriptor 3."""
+        host, port = str(config["listen"]).split(":")
+        self.listener = socket.create_server((host, int(port)), backlog=1024)
+
+    def start(self, config: dict[str, object], admin: str | None = None) -> subprocess.Popen[bytes]:
+        """Start one process. ``admin``: another address for operators than the configuration's."""
         number = len(self.processes)
         path = self.folder / "config.json"
         path.write_text(json.dumps(config))
@@ -258,12 +262,14 @@
         }
         if admin:
             environment["EDGE_ADMIN"] = admin
+        if self.listener:
+            environment["EDGE_PASSED_SOCKET"] = "3"
         sockets = config["limits"]["sockets"]
 
-        def limit() -> None:
+        def prepare() -> None:
+            if self.listener:
+                os.dup2(self.listener.fileno(), 3)
             resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
-            if cpu is not None:
-                os.sched_setaffinity(0, {cpu})
 
         process = subprocess.Popen(
             ["/bin/sh", "-c", run_command()],
@@ -271,7 +277,8 @@
             env=environment,
             stdout=subprocess.DEVNULL,
             stderr=(self.folder / f"gateway-{number}.log").open("wb"),
-            preexec_fn=limit,
+            preexec_fn=prepare,
+            pass_fds=(3,) if self.listener else (),
         )
         self.processes.append(process)
         self.record(f"gateway process {number} started")
