--- a/review/rig2.py
+++ b/review/rig2.py
@@ -1,6 +1,7 @@
 """Rig of the second review: stand-ins for discovery, servers and clients, and the gateway as a process.
 
-Python's standard library only. All addresses are loopback addresses, on free ports.
+Python's standard library, and the event loop that the deploy file installs. All addresses are loopback
+addresses, on free ports.
 """
 
 from __future__ import annotations
@@ -20,6 +21,8 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+import uvloop
+
 ROOT = Path(__file__).resolve().parent.parent
 HOLDS, BROKEN, CANNOT_RUN = 0, 1, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -44,7 +47,6 @@
 
     def __call__(self, text: str) -> None:
         self.file.write(f"{time.monotonic() - self.began:8.3f} {text}\n")
-        self.file.flush()
 
 
 def words(*items: bytes) -> bytes:
@@ -294,6 +296,7 @@
             process.wait()
         for number in range(len(self.processes)):
             self.record.file.write(f"--- log of gateway process {number}\n{self.log(number)[:20000]}")
+        self.record.file.flush()
 
 
 async def ask(address: str, line: str) -> str:
@@ -352,7 +355,7 @@
         signal.signal(signal.SIGALRM, stopped)
         signal.signal(signal.SIGTERM, stopped)
         try:
-            faults = asyncio.run(play(gateways, record))
+            faults = uvloop.run(play(gateways, record))
             for fault in faults:
                 record(f"BROKEN {fault}")
             code = BROKEN if faults else HOLDS
@@ -363,6 +366,7 @@
         finally:
             gateways.end_all()
     record(f"exit {code}")
+    record.file.close()
     print({HOLDS: "held", BROKEN: "broken", CANNOT_RUN: "could not run"}[code])
     sys.stdout.flush()
     os._exit(code)
