--- a/review/rig2.py
+++ b/review/rig2.py
@@ -25,6 +25,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 HOLDS, BROKEN, CANNOT_RUN = 0, 1, 2
+# How a read or write tells that the connection has ended; RuntimeError: a write to a closed transport.
+ENDED = (ConnectionError, RuntimeError, asyncio.IncompleteReadError)
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -102,7 +104,11 @@
                 self.ran.append(command[2])
                 self._record(f"{self.name} runs {command[2].decode()}")
                 await self._respond(command, writer)
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (
+            ConnectionError,
+            RuntimeError,
+            asyncio.IncompleteReadError,
+        ):  # RuntimeError: of a closed transport
             pass
         finally:
             writer.close()
@@ -143,7 +149,11 @@
                 await writer.drain()
                 line = b"\n"
                 await asyncio.sleep(2.0)
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (
+            ConnectionError,
+            RuntimeError,
+            asyncio.IncompleteReadError,
+        ):  # RuntimeError: of a closed transport
             pass
         finally:
             writer.close()
