Count and log commands that are dropped unparsed when a connection closes

Change: dropped_commands in FIGURES, one log line for each such connection, and the parser of a connection that takes no more commands is released.

--- a/quota_gateway/net/clients/command_stream.py
+++ b/quota_gateway/net/clients/command_stream.py
@@ -66,6 +66,21 @@
             raise ProtocolError("a client's command exceeds a length limit or declares an invalid length")
         return None
 
+    def unparsed_commands(self) -> int:
+        """Number of complete commands that were read and not parsed yet."""
+        return self._lengths.arrays_completed - self._commands_parsed
+
+    def drop_unparsed(self) -> int:
+        """Drop the bytes that were read and not parsed; returns how many complete commands were among them.
+
+        Nothing may be fed or parsed afterwards.
+        """
+        dropped = self.unparsed_commands()
+        self._commands_parsed += dropped
+        self._arrivals.clear()
+        self._reader = hiredis.Reader(replyError=CommandError)
+        return dropped
+
     def latest_command_read_ms(self) -> float:
         """When the last byte of the latest parsed command was read."""
         while len(self._arrivals) > 1 and self._arrivals[0].commands_completed < self._commands_parsed:
--- a/quota_gateway/net/clients/connection.py
+++ b/quota_gateway/net/clients/connection.py
@@ -123,6 +123,7 @@
         """Drop all pending replies and report the disconnect for each unanswered request to the driver."""
         self.command_timer.stop()
         self.throttle.set_waiting(0)
+        self._drop_unparsed_commands()
         unsent_bytes = self.replies.unsent_bytes
         slots = self.replies.drop_all()
         if slots and self.close_reason:
@@ -140,6 +141,18 @@
                 self.clients.driver.client_disconnected(slot.request_id, self.close_reason)
         self.clients.on_replies_changed()
 
+    def _drop_unparsed_commands(self) -> None:
+        """Drop the commands that were read but not parsed; count them if this gateway is what closes."""
+        dropped = self.stream.drop_unparsed()
+        if dropped and self.close_reason:
+            self.clients.driver.metrics.dropped_commands_total += dropped
+            log.warning(
+                "closed a client's connection with %d commands read and not handled: %s (%d bytes unsent)",
+                dropped,
+                self.close_reason.value,
+                self.transport.get_write_buffer_size() if self.transport else 0,
+            )
+
     # ---- Incoming commands
 
     def get_buffer(self, _sizehint: int) -> memoryview:
@@ -251,6 +264,7 @@
     def stop_taking_commands(self) -> None:
         """Take no further command, and close after the pending replies."""
         self._enter(ClientState.ENDING)
+        self.stream.drop_unparsed()
 
     def reject_protocol_error(self) -> None:
         """Answer malformed RESP with an error and close after it; earlier commands are answered first."""
--- a/quota_gateway/net/metrics.py
+++ b/quota_gateway/net/metrics.py
@@ -69,6 +69,7 @@
         self.failed_total = 0
         self.disconnected_total = 0  # the client disconnected before its answer
         self.dropped: Counter[CloseReason] = Counter()  # this gateway closed the connection before the answer
+        self.dropped_commands_total = 0  # read but not parsed yet as this gateway closed the connection
         self.broken_off_total = 0  # of those served: the rest of a long value never came
         self.shed_replies_total = 0  # of those served: an error went out, as too many bytes of replies waited
         self.held_commands_total = 0  # times that a client's commands waited for room for their replies
@@ -127,6 +128,7 @@
             "failed": self.failed_total,
             "gone": self.disconnected_total,
             "dropped": {reason.value: total for reason, total in self.dropped.items()},
+            "dropped_commands": self.dropped_commands_total,
             "unanswered": unanswered,
             "broken_off": self.broken_off_total,
             "shed": self.shed_replies_total,
--- a/quota_gateway/rollout/figures.py
+++ b/quota_gateway/rollout/figures.py
@@ -50,9 +50,9 @@
     """A gateway's report: the counts of its process since the start of that process.
 
     The keys and the latency buckets are those of `net.metrics`; buckets count served requests only.
-    `client_left`, `dropped`, `unanswered`, `broken_off`, `shed_replies`, `held_commands`, `command_timeouts`,
-    `in_flight`, `config_digest` and `rejections_by_reason` are checked as a report is decoded, and not used
-    by rollouts.
+    `client_left`, `dropped`, `dropped_commands`, `unanswered`, `broken_off`, `shed_replies`, `held_commands`,
+    `command_timeouts`, `in_flight`, `config_digest` and `rejections_by_reason` are checked as a report is
+    decoded, and not used by rollouts.
     """
 
     pid: int = 0
@@ -62,6 +62,7 @@
     failed: int = 0
     client_left: int = 0
     dropped: dict[str, int] = {}  # by reason: the gateway closed the connection
+    dropped_commands: int = 0  # read but never handled, as the gateway closed the connection
     unanswered: int = 0
     broken_off: int = 0  # served, but the rest of a long value was never received
     shed_replies: int = 0  # served, but replaced by an error for lack of room
