Close no connection while commands that were read on it wait in the parser

Cause: a connection counted as idle if it had no reply slot and no unread bytes in the kernel. While its write buffer is full nothing is parsed, and complete commands wait in the parser without a slot. Drain, crowd, SIGHUP with fewer descriptors, SIGTERM and the report to a supervisor all judged so. Beyond the limit on half-closed connections, the oldest was aborted with its replies unsent.

Why it works: one question, Client.owes_answer, counts slots, unparsed commands and unsent bytes; each of these places asks it. An orderly close sends what was written and waits for the first two alone.

--- a/quota_gateway/net/clients/connection.py
+++ b/quota_gateway/net/clients/connection.py
@@ -317,7 +317,7 @@
         """Call ``on_all_answered`` if everything that was read has been answered."""
         if (
             self.clients.on_all_answered
-            and not self.replies.slots
+            and not self.owes_reply()
             and not self.stream.is_within_command()
             and self.takes_commands
         ):
@@ -346,13 +346,31 @@
 
     # ---- Between requests
 
+    def owes_reply(self) -> bool:
+        """Whether a command that was read has no reply yet, or one that is not written yet.
+
+        Commands that wait in the parser count: behind unread replies no slot stands for them.
+        """
+        return bool(self.replies.slots) or self.stream.unparsed_commands() > 0
+
+    def has_unsent_bytes(self) -> bool:
+        """Whether bytes of replies that were written are still in this process's buffer."""
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
+    def owes_answer(self) -> bool:
+        """Whether anything that was read or written here is still owed an answer, or the rest of one.
+
+        Every choice of a connection to close asks this. An orderly ``close`` still sends what was written, so
+        it may do with ``owes_reply``.
+        """
+        return self.owes_reply() or self.has_unsent_bytes()
+
     def _close_if_due(self) -> None:
-        """Close or transfer the connection if no reply is pending and there is a reason to.
+        """Close or transfer the connection if no reply is owed and there is a reason to.
 
-        Commands that were read but not parsed yet, as the maximum was in flight, are handled first, since
-        closing would lose them. During the shutdown, bytes that the kernel has received are read first.
+        During the shutdown, bytes that the kernel has received are read first.
         """
-        if self.replies.slots or not self.can_write_replies():
+        if self.owes_reply() or not self.can_write_replies():
             return
         if not self.takes_commands or (self.clients.is_shutting_down and self._may_close_at_shutdown()):
             self.close()
@@ -363,12 +381,14 @@
 
     def _may_close_at_shutdown(self) -> bool:
         """Whether the shutdown may close it; in the grace period a first command may still be on its way."""
-        return not self.has_unread_bytes() if self.clients.grace_is_over else self.is_used_and_idle()
+        if self.clients.grace_is_over:
+            return not self.has_unread_bytes()
+        return self.has_requested and self.can_close_in_order()
 
     def _is_between_commands(self) -> bool:
         return (
             self.can_write_replies()
-            and not self.replies.slots
+            and not self.owes_reply()
             and self.takes_commands
             and not self.stream.is_within_command()
             and not self.stream.is_out_of_bounds
@@ -381,16 +401,16 @@
             transport is not None
             and self._is_between_commands()
             and not transport.is_closing()
-            and transport.get_write_buffer_size() == 0
+            and not self.has_unsent_bytes()
         )
 
-    def is_idle(self) -> bool:
-        """Whether a close would lose no part of a command that has arrived, read or unread."""
+    def can_close_in_order(self) -> bool:
+        """Whether ``close`` would lose no part of a command that has arrived, read or unread."""
         return self._is_between_commands() and not self.has_unread_bytes()
 
-    def is_used_and_idle(self) -> bool:
-        """Whether it is idle and has sent a request; a new connection is about to send its first one."""
-        return self.has_requested and self.is_idle()
+    def is_idle(self) -> bool:
+        """Whether nothing is owed on it, so that it could also be ended without a half-close."""
+        return self.can_close_in_order() and not self.owes_answer()
 
     def has_unread_bytes(self) -> bool:
         """Whether the kernel has received bytes, or the client's disconnect, that were not read yet."""
@@ -423,8 +443,8 @@
             self.end_lingering()
 
     def close_idle(self) -> None:
-        """Close unless replies are pending or unread bytes have arrived."""
-        if self.can_write_replies() and not self.replies.slots and not self.has_unread_bytes():
+        """Close unless replies are owed or unread bytes have arrived."""
+        if self.can_write_replies() and not self.owes_reply() and not self.has_unread_bytes():
             self.close()
 
     def abort(self, reason: CloseReason) -> None:
--- a/quota_gateway/net/clients/registry.py
+++ b/quota_gateway/net/clients/registry.py
@@ -147,15 +147,16 @@
     def reconfigure(self, settings: api.Settings, most_connections: int) -> None:
         """Apply new settings; above the limit idle connections are closed, least recently used first.
 
-        If still too many are left, those with requests in flight are closed once these are answered.
+        Then those are closed that only have written replies left to send. If still too many are left, those
+        with requests in flight are closed once these are answered.
         """
         self.dispatcher.reconfigure(settings)
         self.most_connections = most_connections
         self.reply_budget.divide(most_connections)
-        for client in list(self.connections):
+        for client in sorted(self.connections, key=Client.has_unsent_bytes):
             if not self.is_over_limit():
                 break
-            if client.is_idle():
+            if client.can_close_in_order():
                 client.close()
 
     def should_close_idle(self) -> bool:
@@ -187,18 +188,22 @@
         self._limit_lingering()
 
     def _eviction_candidate(self, newest: Client) -> Client:
-        """The least recently used idle connection, else one without a pending reply, else the newest."""
+        """The least recently used idle connection, else one on which nothing is owed, else the newest."""
         for client in self.connections:
             if client is not newest and client.is_idle():
                 return client
         for client in self.connections:
-            if client is not newest and not client.replies.slots and not client.has_unread_bytes():
+            if client is not newest and not client.owes_answer() and not client.has_unread_bytes():
                 return client
         return newest
 
     def _limit_lingering(self) -> None:
+        """End half-closed connections above the limit, oldest first, but none with replies left to send.
+
+        One to end is always found: the connection that was closed just now had nothing left to send.
+        """
         while len(self.connections) + len(self.lingering) > self.most_connections + MAX_LINGERING:
-            oldest = next(iter(self.lingering), None)
+            oldest = next((client for client in self.lingering if not client.owes_answer()), None)
             if oldest is None or oldest.transport is None:
                 return
             del self.lingering[oldest]
