Log a value that the process's own end cuts off as such, and count owed connections

Change: the reason of an abort is kept when the close of the server's connection ends the value a moment later; the shutdown logs how many connections it aborts on which an answer is still owed.

--- a/quota_gateway/net/clients/connection.py
+++ b/quota_gateway/net/clients/connection.py
@@ -309,7 +309,8 @@
         if len(self.replies.slots) < pending_before:
             self.idle_since = self.clients.loop.time()
         if outcome is WriteOutcome.VALUE_BROKE_OFF:
-            self.clients.driver.metrics.broken_off_total += 1
+            if self.close_reason is None:  # otherwise it is this gateway that ended the value
+                self.clients.driver.metrics.broken_off_total += 1
             self.close(CloseReason.VALUE_BROKE_OFF)
         return outcome is WriteOutcome.DONE
 
@@ -424,6 +425,8 @@
     def close(self, reason: CloseReason = CloseReason.IN_ORDER) -> None:
         """Half-close after the replies that were written; commands without a reply are dropped.
 
+        The reason of an earlier ``abort`` is kept.
+
         This is the only orderly way to end a connection. Input is read and discarded for ``LINGER_S``, as
         closing a socket with unread bytes resets the connection and loses replies that the client has not
         read yet.
@@ -431,7 +434,7 @@
         if self.transport is None or self.state is ClientState.LINGERING:
             return
         self._enter(ClientState.LINGERING)
-        self.close_reason = reason
+        self.close_reason = self.close_reason or reason
         self.linger_timer = self.clients.loop.call_later(LINGER_S, self._on_linger_timeout)
         self.clients.unregister(self)
         self.clients.lingering[self] = None
--- a/quota_gateway/net/clients/registry.py
+++ b/quota_gateway/net/clients/registry.py
@@ -288,6 +288,10 @@
         """Whether every connection that was accepted has ended."""
         return not (self.connections or self.lingering or self.adopting)
 
+    def count_owed(self) -> int:
+        """Number of connections on which an answer, or the rest of one, is still owed."""
+        return sum(client.owes_answer() for client in [*self.connections, *self.lingering])
+
     def abort(self) -> None:
         """Abort all remaining connections when the process ends."""
         for client in [*self.connections, *self.lingering]:
--- a/quota_gateway/process/shutdown.py
+++ b/quota_gateway/process/shutdown.py
@@ -58,7 +58,7 @@
         await self._keep_serving()
         self._clients.stop_listening()
         await self._flush_answers()
-        self._clients.abort()
+        self._abort_remaining()
 
     async def _keep_serving(self) -> None:
         """Accept and answer until shortly before the end, or until a successor has taken over everything."""
@@ -83,6 +83,12 @@
             if self._clients.has_ended() or self._loop.time() >= self._answered_by_s + FLUSH_S:
                 return
 
+    def _abort_remaining(self) -> None:
+        owed = self._clients.count_owed()
+        if owed:
+            log.warning("stopping: %d connections are aborted on which an answer is still owed", owed)
+        self._clients.abort()
+
 
 def answering_duration_s(settings: api.Settings) -> float:
     """Time from SIGTERM to the last answer."""
