Finish answers that are still owed before the process ends by itself

Cause: 0.15 s after the last answers are decided, the shutdown aborted every client connection, whatever was owed on it: a value under way, replies that a client reads slowly, commands waiting behind them.

Why it works: past that time the process takes no further command and stays while Client.owes_answer holds for a connection.

--- a/quota_gateway/net/clients/connection.py
+++ b/quota_gateway/net/clients/connection.py
@@ -382,6 +382,8 @@
 
     def _may_close_at_shutdown(self) -> bool:
         """Whether the shutdown may close it; in the grace period a first command may still be on its way."""
+        if self.clients.finishes_owed_only:
+            return True
         if self.clients.grace_is_over:
             return not self.has_unread_bytes()
         return self.has_requested and self.can_close_in_order()
--- a/quota_gateway/net/clients/registry.py
+++ b/quota_gateway/net/clients/registry.py
@@ -56,6 +56,7 @@
         self.sweep_timer: asyncio.TimerHandle | None = None
         self.is_shutting_down = False  # the shutdown has begun
         self.grace_is_over = False  # the shutdown no longer waits for commands to arrive
+        self.finishes_owed_only = False  # the shutdown reads no further commands, even if they have arrived
 
         # Hot restart and failover are never both in use, so each callback has one owner (process/builder.py)
         self.peer_connections = 0  # connections that the predecessor still has
@@ -284,6 +285,12 @@
         for client in list(self.connections):
             client.flush()
 
+    def stop_waiting_for_commands(self) -> None:
+        """Close each connection once no answer is owed, although further commands may have arrived."""
+        self.finishes_owed_only = True
+        for client in list(self.connections):
+            client.flush()
+
     def has_ended(self) -> bool:
         """Whether every connection that was accepted has ended."""
         return not (self.connections or self.lingering or self.adopting)
--- a/quota_gateway/process/shutdown.py
+++ b/quota_gateway/process/shutdown.py
@@ -1,4 +1,8 @@
-"""Graceful shutdown after SIGTERM: keep serving, send the last answers and close, all before SIGKILL."""
+"""Graceful shutdown after SIGTERM: keep serving, send the last answers and close.
+
+All answers are decided before SIGKILL may come. An answer that is still on its way then, such as a long value
+that its server writes slowly, is sent to its end unless SIGKILL does come.
+"""
 
 from __future__ import annotations
 
@@ -8,17 +12,21 @@
 
 from quota_gateway import api
 from quota_gateway.net.clients import ClientRegistry
+from quota_gateway.net.clients.connection import LINGER_S
 from quota_gateway.net.driver import Driver
 
 log = logging.getLogger("quota_gateway")
 
-# The platform sends SIGKILL this long after SIGTERM: SIGKILL_DELAY_S plus the longest deadline of any request
-# class, of which at most MAX_DEADLINE_WAIT_S count.
+# The platform sends SIGKILL no sooner than this after SIGTERM: SIGKILL_DELAY_S plus the longest deadline of any
+# request class, of which at most MAX_DEADLINE_WAIT_S count.
 MAX_DEADLINE_WAIT_S = 3.0
 SIGKILL_DELAY_S = 0.7
 SIGKILL_MARGIN_S = 0.3  # all requests are answered this long before SIGKILL
 ACCEPT_STOP_S = 0.5  # connections are no longer accepted this long before all requests are answered
 FLUSH_S = 0.15  # time to write the last answers and then close their connections
+# Longest time after that for answers that are still owed, where no SIGKILL comes: a value of 4 MiB at 32 KiB/s
+# takes as long. Servers and clients that make no progress at all are given up sooner.
+MAX_OWED_ANSWERS_S = 128.0
 CHECK_INTERVAL_S = 0.01
 
 
@@ -49,20 +57,21 @@
         self._handover = handover
         self._loop = asyncio.get_running_loop()
         self._duration_s = answering_duration_s(settings)
-        self._answered_by_s = self._loop.time() + self._duration_s
+        self.answered_by_s = self._loop.time() + self._duration_s
 
     async def run(self) -> None:
-        """Run all phases; returns when no client connection is left."""
+        """Run all phases; returns when no answer is owed any more, or the longest time for that is over."""
         log.info("stopping: still accepting and answering requests")
         self._driver.post(api.ShutdownBegun(self._duration_s * 1000.0))
         await self._keep_serving()
         self._clients.stop_listening()
-        await self._flush_answers()
+        await self._wait_for_ends(self.answered_by_s + FLUSH_S)
+        await self._finish_owed_answers()
         self._abort_remaining()
 
     async def _keep_serving(self) -> None:
         """Accept and answer until shortly before the end, or until a successor has taken over everything."""
-        while self._loop.time() < self._answered_by_s - ACCEPT_STOP_S:
+        while self._loop.time() < self.answered_by_s - ACCEPT_STOP_S:
             if self._is_replaced():
                 return
             await asyncio.sleep(CHECK_INTERVAL_S)
@@ -72,17 +81,32 @@
             return False
         return not self._clients.connections and not self._driver.requests
 
-    async def _flush_answers(self) -> None:
-        """Wait until each connection has closed after its last answer.
+    async def _wait_for_ends(self, latest_s: float) -> None:
+        """Wait until each connection has closed after its last answer, at most to this time of the loop.
 
         The decisions produce their last answers just before the end. Each check, the first one too, follows
         a sleep: a connection that the event loop has just accepted is known only in its next iteration.
         """
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            if self._clients.has_ended() or self._loop.time() >= self._answered_by_s + FLUSH_S:
+            if self._clients.has_ended() or self._loop.time() >= latest_s:
                 return
 
+    async def _finish_owed_answers(self) -> None:
+        """Go on while an answer is owed: SIGKILL need not come, and what this process cuts off is lost.
+
+        New commands are not owed an answer any more: their connections close once nothing older is.
+        """
+        self._clients.stop_waiting_for_commands()
+        owed = self._clients.count_owed()
+        if not owed:
+            return
+        log.info("stopping: %d connections are still owed an answer, which they get first", owed)
+        latest_s = self._loop.time() + MAX_OWED_ANSWERS_S
+        while self._clients.count_owed() and self._loop.time() < latest_s:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+        await self._wait_for_ends(self._loop.time() + LINGER_S)
+
     def _abort_remaining(self) -> None:
         owed = self._clients.count_owed()
         if owed:
--- a/tests/test_owed_answers.py
+++ b/tests/test_owed_answers.py
@@ -13,6 +13,8 @@
 from quota_gateway.net.clients import Client
 from quota_gateway.net.clients import registry as registry_module
 from quota_gateway.net.clients import reply_queue as reply_queue_module
+from quota_gateway.process import shutdown as shutdown_module
+from quota_gateway.process.shutdown import GracefulShutdown
 
 VALUE = b"v" * 60_000
 REPLY = b"$%d\r\n%b\r\n" % (len(VALUE), VALUE)
@@ -121,3 +123,103 @@
             assert not any(reported)
 
     run(test())
+
+
+# ---- The end of a process
+
+
+LONG_VALUE = b"v" * (256 * 1024)
+
+
+async def server_within_a_long_value(gateway, server: FakeServer) -> RawClient:
+    """A client that has received the first half of its long value; the server holds the second half back."""
+    raw = RawClient(port(gateway))
+    raw.send(call(1))
+    await server.until(lambda: len(server.commands) == 1)
+    server.writers[0].write(b"*3\r\n$%d\r\n%b" % (len(LONG_VALUE), LONG_VALUE[::2]))
+    assert len(await raw.read(len(LONG_VALUE) // 2)) == len(LONG_VALUE) // 2
+    return raw
+
+
+def shorten_shutdown(monkeypatch) -> None:
+    monkeypatch.setattr(shutdown_module, "MAX_DEADLINE_WAIT_S", 0.0)
+    monkeypatch.setattr(shutdown_module, "SIGKILL_DELAY_S", shutdown_module.SIGKILL_MARGIN_S)
+    monkeypatch.setattr(shutdown_module, "FLUSH_S", 0.0)
+    monkeypatch.setattr(registry_module, "SHUTDOWN_GRACE_S", 0.0)
+
+
+async def begin_shutdown(gateway) -> asyncio.Task[None]:
+    """Begin to shut the process down; returns once its time is over."""
+    shutdown = GracefulShutdown(SETTINGS, gateway.driver, gateway.clients)
+    task = asyncio.create_task(shutdown.run())
+    ends_s = shutdown.answered_by_s + 0.2
+    await until(lambda: asyncio.get_running_loop().time() > ends_s)
+    return task
+
+
+def test_long_value_under_way_at_sigterm_is_passed_on_to_its_end(monkeypatch):
+    """Guards against a process that ends by itself while a server still writes a value, which cuts it off."""
+    shorten_shutdown(monkeypatch)
+
+    async def test():
+        server = FakeServer(lambda words: None)
+        async with local_gateway(server) as gateway:
+            raw = await server_within_a_long_value(gateway, server)
+            task = await begin_shutdown(gateway)
+            assert not task.done()
+            server.writers[0].write(LONG_VALUE[::2] + b"\r\n$-1\r\n$-1\r\n")
+            rest, end = await raw.read_to_end()
+            assert rest.endswith(b"v\r\n")
+            assert len(rest) == len(b"$%d\r\n\r\n" % len(LONG_VALUE)) + len(LONG_VALUE) // 2
+            assert end == "end"
+            await task
+
+    run(test())
+
+
+def test_commands_of_a_slow_reader_are_answered_before_the_process_ends(monkeypatch):
+    """Guards against a process that ends while a client still reads the answers to commands it took."""
+    shorten_shutdown(monkeypatch)
+    monkeypatch.setattr(reply_queue_module, "MAX_PIPELINED", 1)
+
+    async def test():
+        async with local_gateway(FakeServer(lambda words: server_reply(VALUE))) as gateway:
+            raw, client = await slow_reader(gateway)
+            served = COMMANDS - client.stream.unparsed_commands()
+            task = await begin_shutdown(gateway)
+            assert not task.done()
+            for _ in range(served):
+                assert await raw.read(len(REPLY)) == REPLY
+            rest, end = await raw.read_to_end()
+            assert rest.count(b"\r\n") == COMMANDS - served  # taken too late to be served: one line each
+            assert end == "end"
+            await task
+
+    run(test())
+
+
+def test_process_ends_although_a_value_never_does_and_a_client_keeps_sending(monkeypatch):
+    """Guards against peers that keep a process alive: what is owed has a limit, new commands are not owed."""
+    shorten_shutdown(monkeypatch)
+    monkeypatch.setattr(shutdown_module, "MAX_OWED_ANSWERS_S", 0.5)
+
+    async def test():
+        server = FakeServer(lambda words: None)
+        async with local_gateway(server) as gateway:
+            raw = await server_within_a_long_value(gateway, server)
+            peer = await gateway.connect_client()
+            sending = asyncio.create_task(keep_sending(peer))
+            task = await begin_shutdown(gateway)
+            await task
+            await sending
+            assert len((await raw.read_to_end())[0]) < len(LONG_VALUE)
+            assert not gateway.driver.metrics.broken_off_total
+
+    async def keep_sending(peer) -> None:
+        number = 1000
+        while not peer.writer.transport.is_closing():
+            number += 1
+            peer.send(call(number))
+            await asyncio.sleep(0.0005)
+
+    run(test())
