--- a/quota_gateway/process/shutdown.py
+++ b/quota_gateway/process/shutdown.py
@@ -17,15 +17,15 @@
 
 log = logging.getLogger("quota_gateway")
 
-# The platform sends SIGKILL no sooner than this after SIGTERM: SIGKILL_DELAY_S plus the longest deadline of any
-# request class, of which at most MAX_DEADLINE_WAIT_S count.
+# The platform sends SIGKILL no sooner than this after SIGTERM: SIGKILL_DELAY_S plus the longest deadline of
+# any request class, of which at most MAX_DEADLINE_WAIT_S count.
 MAX_DEADLINE_WAIT_S = 3.0
 SIGKILL_DELAY_S = 0.7
 SIGKILL_MARGIN_S = 0.3  # all requests are answered this long before SIGKILL
 ACCEPT_STOP_S = 0.5  # connections are no longer accepted this long before all requests are answered
 FLUSH_S = 0.15  # time to write the last answers and then close their connections
-# Longest time after that for answers that are still owed, where no SIGKILL comes: a value of 4 MiB at 32 KiB/s
-# takes as long. Servers and clients that make no progress at all are given up sooner.
+# Longest time after that for answers that are still owed, where no SIGKILL comes: 4 MiB at 32 KiB/s take as
+# long. Servers and clients that make no progress at all are given up sooner.
 MAX_OWED_ANSWERS_S = 128.0
 CHECK_INTERVAL_S = 0.01
 
--- a/quota_gateway/rollout/launcher.py
+++ b/quota_gateway/rollout/launcher.py
@@ -35,8 +35,8 @@
 POLL_INTERVAL_S = 0.02
 START_TIMEOUT_S = 20.0  # until the admin endpoint answers
 # From SIGTERM to SIGKILL of one process: more than the 3.7 s in which a gateway decides all its answers, see
-# process/shutdown.py; values that take longer are cut off. The supervisor's 5.0 s (failover/supervisor.py) are
-# for all its processes together.
+# process/shutdown.py; values that take longer are cut off. The supervisor's 5.0 s (failover/supervisor.py)
+# are for all its processes together.
 TERMINATION_GRACE_S = 4.5
 CALL_TIMEOUT_S = 1.0
 NUMBER_BYTES = 32  # read of a file that holds a number: more than a number takes
