--- a/quota_gateway/net/driver.py
+++ b/quota_gateway/net/driver.py
@@ -17,7 +17,7 @@
 from quota_gateway.net.close_reason import CloseReason
 from quota_gateway.net.metrics import GatewayMetrics
 from quota_gateway.net.servers import Attempt, Reply, ServerPool, Sink, Source
-from quota_gateway.net.timer_queue import TimerQueue
+from quota_gateway.net.timer_queue import Timer, TimerQueue
 from quota_gateway.policy.gateway import Gateway
 
 log = logging.getLogger(__name__)
@@ -41,6 +41,7 @@
         self.requests: dict[str, ClientRequest] = {}  # by id
         self.metrics = GatewayMetrics()
         self.timers = TimerQueue(lambda: self.clock())
+        self._policy_timers: dict[int, Timer] = {}  # that the policy has set, by token
         self.on_peer_usage: Callable[[api.PeerUsage], None] = lambda _: None
         self.on_set_serving: Callable[[api.SetServing], None] = lambda _: None
         self._events: deque[api.Event] = deque()
@@ -86,6 +87,7 @@
         try:
             for action in self.gateway.handle(self.clock(), event):
                 self._perform(action)
+            self._cancel_disarmed()
         except Exception:  # a failure on one request must not affect the others
             log.exception("the policy failed on %r; its request, if any, is answered with an error", event)
             request_id = getattr(event, "request_id", None)  # only some events belong to a request
@@ -147,9 +149,10 @@
         self.servers.start(server, attempt)
         if forwarded.number not in request.attempts_in_flight:
             return  # it failed immediately
-        self.timers.call_at(forwarded.ends_ms, self._time_out, forwarded)
+        timers = [self.timers.call_at(forwarded.ends_ms, self._time_out, forwarded)]
         if forwarded.latest_begin_ms < forwarded.ends_ms:
-            self.timers.call_at(forwarded.latest_begin_ms, self.servers.cancel_unsent, attempt)
+            timers.append(self.timers.call_at(forwarded.latest_begin_ms, self.servers.cancel_unsent, attempt))
+        forwarded.timers = timers
 
     def _time_out(self, forwarded: ForwardedAttempt) -> None:
         """End an attempt, unless it is streaming: a value may take as long as data keeps coming."""
@@ -194,7 +197,19 @@
     # ---- Timers
 
     def _set_timer(self, action: api.SetTimer) -> None:
-        self.timers.call_at(self.clock() + action.delay_ms, self.post, api.TimerFired(action.token))
+        due_ms = self.clock() + action.delay_ms
+        self._policy_timers[action.token] = self.timers.call_at(due_ms, self._fire, action.token)
+
+    def _fire(self, token: int) -> None:
+        del self._policy_timers[token]
+        self.post(api.TimerFired(token))
+
+    def _cancel_disarmed(self) -> None:
+        """Cancel the policy's timers that the event has made pointless."""
+        for token in self.gateway.disarmed_timers():
+            timer = self._policy_timers.pop(token, None)
+            if timer:
+                self.timers.cancel(timer)
 
 
 class ForwardedAttempt:
@@ -206,6 +221,7 @@
         "timeout_ms",
         "ends_ms",
         "latest_begin_ms",
+        "timers",
         "_driver",
         "_server",
         "_sent_ms",
@@ -221,6 +237,7 @@
         if action.timeout_ms:
             self.timeout_ms = min(self.timeout_ms, action.timeout_ms)
         self.ends_ms = self._sent_ms + self.timeout_ms
+        self.timers: list[Timer] = []
         self.latest_begin_ms = inf
         if action.begin_within_ms:
             self.latest_begin_ms = self._sent_ms + action.begin_within_ms - DELIVERY_MARGIN_MS
@@ -250,6 +267,8 @@
 
     def finish(self, reply: Reply) -> None:
         """Handle the end of the attempt; called once."""
+        for timer in self.timers:
+            self._driver.timers.cancel(timer)
         self.request.attempts_in_flight.pop(self.number, None)
         self.report(reply)
 
--- a/quota_gateway/policy/gateway.py
+++ b/quota_gateway/policy/gateway.py
@@ -108,6 +108,10 @@
             handler(event)
         return self.context.actions
 
+    def disarmed_timers(self) -> list[int]:
+        """Tokens of the timers that the latest event made pointless: whoever keeps them may drop them."""
+        return self.context.disarmed
+
     def _on_request(self, event: api.Request) -> None:
         """Pass a new request on to admission, if it is one that this gateway may serve."""
         if event.request_id in self.pending_requests.by_id:
--- a/quota_gateway/state/context.py
+++ b/quota_gateway/state/context.py
@@ -36,6 +36,7 @@
         self.actions: list[Action] = []
         self.timers: dict[int, ArmedTimer] = {}  # by token
         self.last_token = 0
+        self.disarmed: list[int] = []  # tokens of timers that the event being handled made pointless
         self.logged_once: set[str] = set()
         self.configure(settings)
 
@@ -53,14 +54,23 @@
         self.now_ms = now_ms
         self.decay.now_ms = now_ms
         self.actions = []
+        self.disarmed = []
         if self.started_ms > now_ms:
             self.started_ms = now_ms
 
-    def arm(self, delay_ms: float, callback: Callable[[Argument], None], argument: Argument) -> None:
-        """Arm a timer that calls back with this argument after the delay. Timers are never cancelled."""
+    def arm(self, delay_ms: float, callback: Callable[[Argument], None], argument: Argument) -> int:
+        """Arm a timer that calls back with this argument after the delay; returns its token."""
         self.last_token += 1
         self.timers[self.last_token] = ArmedTimer(callback, argument)
         self.actions.append(SetTimer(self.last_token, delay_ms))
+        return self.last_token
+
+    def disarm(self, tokens: list[int]) -> None:
+        """Forget timers, so that they keep nothing alive; those that have fired already are passed over.
+
+        There is no action for this: a timer that fires all the same does nothing.
+        """
+        self.disarmed += [token for token in tokens if self.timers.pop(token, None)]
 
     def fire(self, event: TimerFired) -> None:
         """Call back for a timer that is due. A timer with an unknown token does nothing."""
--- a/quota_gateway/state/pending_request.py
+++ b/quota_gateway/state/pending_request.py
@@ -37,6 +37,7 @@
         "draw",
         "state",
         "rate_ceiling_timer_armed",
+        "timer_tokens",
         "attempts_started",
         "attempts_in_flight",
         "tried_servers",
@@ -71,6 +72,9 @@
         # Written by policy/admission.py: while queued, whether a timer ends the wait for the rate ceiling.
         self.rate_ceiling_timer_armed = False
 
+        # Written by whoever arms a timer of this request; policy/responses.py disarms them at its end.
+        self.timer_tokens: list[int] = []
+
         # Written by state/pending_requests.py
         self.state = NEW_REQUEST
         self.attempts_started = 0
--- a/tests/test_net_driver.py
+++ b/tests/test_net_driver.py
@@ -40,6 +40,9 @@
         self.depth -= 1
         return actions
 
+    def disarmed_timers(self):
+        return []
+
     def outcomes(self):
         return [(e.attempt, e.status, e.request_answered) for e in self.events if isinstance(e, AttemptEnded)]
 
