Limit the words of a command together, and the number of its fields

Cause: no limit on the words of one command together, nor on the fields of a head, each of which became an object that lived as long as its request.

Change: 80 KiB for the words of a command, checked as lengths are declared; 64 fields.

--- a/quota_gateway/net/clients/command_stream.py
+++ b/quota_gateway/net/clients/command_stream.py
@@ -13,6 +13,7 @@
 
 MAX_COMMAND_BYTES = 192 * 1024  # of an incomplete command: the largest body, one read and some reserve
 MAX_WORD_BYTES = 64 * 1024  # the protocol's limit for one value
+MAX_WORDS_BYTES = 80 * 1024  # of all words of a command: the largest body, and the words before it
 
 
 class Arrival(NamedTuple):
@@ -36,7 +37,7 @@
 
     def __init__(self) -> None:
         self._reader = hiredis.Reader(replyError=CommandError)
-        self._lengths = DeclaredLengths(MAX_WORD_BYTES)
+        self._lengths = DeclaredLengths(MAX_WORD_BYTES, max_array_bytes=MAX_WORDS_BYTES)
         self._arrivals: deque[Arrival] = deque()  # of commands that are not parsed yet
         self._commands_parsed = 0
         self.bytes_since_command = 0  # after the latest command; the parser may hold up to a read more
--- a/quota_gateway/net/clients/commands.py
+++ b/quota_gateway/net/clients/commands.py
@@ -21,6 +21,7 @@
 MAX_TIMEOUT_MS = 1e9
 MIN_TIMEOUT_MS = 0.001
 MAX_FIELD_VALUE = 1e6
+MAX_FIELDS = 64  # of a command; the protocol has eight names
 MIN_UNITS = 1e-6
 
 # Field names of the protocol.
@@ -99,6 +100,8 @@
 
 
 def _fields(field_list: bytes) -> dict[bytes, bytes]:
+    if field_list.count(b",") >= MAX_FIELDS:
+        raise CommandError("too many names and values")
     fields = {}
     for part in field_list.split(b","):
         name, equals, value = part.partition(b"=")
--- a/quota_gateway/net/declared_lengths.py
+++ b/quota_gateway/net/declared_lengths.py
@@ -52,11 +52,15 @@
     longer than declared: the parser does not check that the bytes after the word are a line end.
 
     With ``is_replies``, single-line values and nulls are valid too, as servers send them.
+    ``max_array_bytes`` limits what the words of one array declare together; None for no limit. A peer that
+    stops within an array can make its receiver hold no more than that.
     """
 
     __slots__ = (
         "_max_word_bytes",
         "_is_replies",
+        "_max_array_bytes",
+        "_array_bytes",
         "_words_left",
         "_word_bytes_left",
         "_header",
@@ -64,8 +68,12 @@
         "arrays_completed",
     )
 
-    def __init__(self, max_word_bytes: int, is_replies: bool = False) -> None:
+    def __init__(
+        self, max_word_bytes: int, is_replies: bool = False, max_array_bytes: int | None = None
+    ) -> None:
         self._max_word_bytes = max_word_bytes
+        self._max_array_bytes = max_array_bytes
+        self._array_bytes = 0  # that the words of the array have declared so far
         self._is_replies = is_replies
         self._words_left = 0  # of the array, after the word that is being read
         self._word_bytes_left = 0  # of the word and the line end after it
@@ -144,6 +152,11 @@
         if kind == b"$":
             self._words_left = max(0, self._words_left - 1)
             self._word_bytes_left = 0 if is_null else length + len(LINE_END)
-            return length <= self._max_word_bytes
+            self._array_bytes += length
+            return length <= self._max_word_bytes and not self._is_array_too_long()
         self._words_left = length
+        self._array_bytes = 0
         return length <= MAX_WORDS and (self._is_replies or length > 0)
+
+    def _is_array_too_long(self) -> bool:
+        return self._max_array_bytes is not None and self._array_bytes > self._max_array_bytes
--- /dev/null
+++ b/tests/test_many_peers.py
@@ -0,0 +1,116 @@
+"""Hundreds of peers at once, or one that floods its connection, beside steady clients of a real process."""
+
+import asyncio
+import socket
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+from fakes import FakeServer, call, chunk, listing, local_gateway, resp, row, run, server_reply
+from test_net_process import connect, program
+
+MEMORY_LIMIT_KIB = 192 * 1024  # the deployment's: above it the platform kills the process
+PEERS = 400
+REPLY_BYTES = 60_000
+STEADY_REQUESTS = 200
+
+
+def memory_kib(pid: int, key: str = "VmHWM") -> int:
+    status = Path(f"/proc/{pid}/status").read_text()
+    return int(status.split(f"{key}:")[1].split()[0])
+
+
+@asynccontextmanager
+async def serving_program(tmp_path, server: FakeServer):
+    """A process that is ready, and the port of its clients."""
+    await server.start()
+    async with program(tmp_path, server) as (process, port, discovery):
+        steady = await connect(port)
+        _, watch = await discovery.watch()
+        watch.write(chunk(listing(2, row("s-1", server.port), reset=True)))
+        while await steady.ask(resp("PING")) != b"PONG":
+            await asyncio.sleep(0.01)
+        yield process, port, steady
+
+
+def slow_socket(port: int) -> socket.socket:
+    """A peer of which the gateway's kernel takes everything, and which reads nothing."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.connect(("127.0.0.1", port))
+    sock.setblocking(False)
+    return sock
+
+
+MANY_FIELDS = "c=read,t=free,d=4000,units=1," + ",".join(f"n{number:x}=" for number in range(8000))
+
+
+PIECES = {
+    "read long answers slowly": lambda peer: b"".join(
+        call(peer * 100 + n, timeout_ms=60_000) for n in range(8)
+    ),
+    "stop in a large body": lambda peer: call(peer, "post", body=b"b" * 65536)[:-100],
+    "stop within many large words": lambda peer: (
+        b"*64\r\n" + resp("b" * 65536)[4:] * 2 + b"$65536\r\n" + b"b" * 60_000
+    ),
+    "send many short fields": lambda peer: b"".join(
+        resp("CALL.GET", f"{peer:016x}", f"{peer * 100 + number:x}", MANY_FIELDS) for number in range(8)
+    ),
+}
+
+
+@pytest.mark.parametrize("behaviour", PIECES)
+def test_memory_stays_below_its_limit_with_hundreds_of_peers(tmp_path, behaviour):
+    """Guards against a process that is killed for its memory while hundreds of clients are slow."""
+
+    async def test():
+        loop = asyncio.get_running_loop()
+        server = FakeServer(lambda words: server_reply(b"v" * REPLY_BYTES))
+        async with serving_program(tmp_path, server) as (process, port, steady):
+            assert await steady.ask(call(1)) == b"v" * REPLY_BYTES
+            socks = [slow_socket(port) for _ in range(PEERS)]
+            sending = [
+                asyncio.create_task(loop.sock_sendall(sock, PIECES[behaviour](number)))
+                for number, sock in enumerate(socks, 1)
+            ]
+            for number in range(STEADY_REQUESTS):
+                answer = await steady.ask(call(10_000_000 + number, timeout_ms=60_000))
+                assert answer == b"v" * REPLY_BYTES or answer.startswith("-BUSY")
+                await asyncio.sleep(0.01)
+            for task in sending:  # peers that are not read any more wait on
+                task.cancel()
+            await asyncio.gather(*sending, return_exceptions=True)
+            for sock in socks:
+                sock.close()
+            assert process.returncode is None
+            assert memory_kib(process.pid) < MEMORY_LIMIT_KIB
+
+    run(test())
+
+
+def test_words_that_are_too_long_together_are_rejected_as_they_are_declared():
+    """Guards against peers that stop within several large words: each held 192 KiB of the process's memory."""
+
+    async def test():
+        async with local_gateway(FakeServer()) as gateway:
+            peer = await gateway.connect_client()
+            peer.send(b"*5\r\n$9\r\nCALL.POST\r\n$65536\r\n", b"x" * 65536, b"\r\n$65536\r\nx")
+            assert await peer.reply() == "-ERR Protocol error"
+            assert await peer.reply() is None
+
+    run(test())
+
+
+def test_request_with_very_many_fields_is_rejected_and_its_connection_stays_open():
+    """Guards against heads of thousands of short fields, which cost time and memory as objects of their own."""
+
+    async def test():
+        server = FakeServer(lambda words: server_reply(b"v"))
+        async with local_gateway(server) as gateway:
+            peer = await gateway.connect_client()
+            fields = resp("CALL.GET", f"{1:016x}", f"{1:x}", MANY_FIELDS)
+            assert await peer.ask(fields) == "-ERR too many names and values"
+            assert await peer.ask(call(2)) == b"v"
+            assert len(server.commands) == 1
+
+    run(test())
