Serve other connections between the commands of one that sends at full speed

Cause: every command of a read was handled at once, and the event loop reads up to 32 times 64 KiB from one connection in a row. And the limit on waiting commands counted only bytes since the latest handled one.

Change: 8 commands or one read of 16 KiB a turn; waiting bytes count from the first command not handled.

--- a/quota_gateway/net/clients/connection.py
+++ b/quota_gateway/net/clients/connection.py
@@ -24,6 +24,8 @@
 
 log = logging.getLogger(__name__)
 
+MAX_COMMANDS_PER_TURN = 8  # of one connection, before the event loop serves the others
+
 # How long input is discarded after a half-close. LINGER_S + COMMAND_TIMEOUT_S is below 3 s, the limit that
 # command_timer.py gives.
 LINGER_S = 0.4
@@ -77,6 +79,7 @@
         self.throttle = ReadThrottle(clients.command_budget)
         self.command_timer = CommandTimer(clients.loop)
         self.is_parsing = False
+        self.next_turn: asyncio.Handle | None = None  # parses and reads on; until then reading is paused
         self.is_parsing_blocked = False  # a command has to wait: maximum in flight, no room, replies unread
         self.bad_commands = 0  # consecutive ones
         self.total_read_bytes = 0
@@ -106,6 +109,8 @@
         self.stall_timer.cancel()
         if self.linger_timer:
             self.linger_timer.cancel()
+        if self.next_turn:
+            self.next_turn.cancel()
         self.clients.unregister(self)
         self.clients.lingering.pop(self, None)
         self._drop_replies()
@@ -189,16 +194,26 @@
         self.idle_since = self.clients.loop.time()
         self.command_timer.on_bytes()
         self.stream.feed(data, self.clients.driver.clock())
+        if len(data) == len(self.clients.buffer):  # more is probably there, which the loop would read at once
+            self._await_next_turn()
         self._parse()
 
     def _parse(self) -> None:
-        """Dispatch the complete commands that were read, up to the maximum in flight.
+        """Dispatch the complete commands that were read, up to the maximum in flight and for one turn.
+
+        Guards against a peer that sends small commands at full speed: others would wait until all that it has
+        sent is handled. The rest of them waits for the next turn, and so does reading on.
 
         A command that is answered immediately calls ``flush``, which would call this method again;
         ``is_parsing`` prevents that.
         """
         self.is_parsing = True
+        commands_left = MAX_COMMANDS_PER_TURN
         while self.takes_commands and self.transport and not self._must_block_parsing():
+            if not commands_left:
+                self._await_next_turn()
+                break
+            commands_left -= 1
             try:
                 command = self.stream.next_command()
             except ProtocolError:
@@ -218,6 +233,16 @@
         self._report_all_answered()
         self._close_if_due()
 
+    def _await_next_turn(self) -> None:
+        if self.next_turn is None:
+            self.next_turn = self.clients.loop.call_soon(self._take_turn)
+
+    def _take_turn(self) -> None:
+        """Go on parsing, and reading, after the event loop has served other connections."""
+        self.next_turn = None
+        if self.transport and not self.transport.is_closing():
+            self._parse()
+
     def _must_block_parsing(self) -> bool:
         return self.replies.is_stuck or self.replies.must_hold_commands()
 
@@ -229,8 +254,10 @@
             should_pause = self.throttle.is_discard_exhausted()
         else:
             holds_commands = self.replies.must_hold_commands()
-            self.throttle.set_waiting(self.stream.bytes_since_command if holds_commands else 0)
-            should_pause = self.replies.is_stuck or self.throttle.is_over_budget()
+            self.throttle.set_waiting(self.stream.waiting_bytes() if holds_commands else 0)
+            should_pause = (
+                self.replies.is_stuck or self.throttle.is_over_budget() or self.next_turn is not None
+            )
         self.throttle.apply(self.transport, should_pause)
         # While parsing is blocked, complete commands may be waiting unparsed: the peer is not late.
         self.command_timer.set_suspended(should_pause or self.is_parsing_blocked)
@@ -290,7 +317,7 @@
 
     def go_on_parsing(self) -> None:
         """Dispatch commands that were read and wait, if they need not wait any longer."""
-        if self.is_parsing_blocked and not self.is_parsing:
+        if self.is_parsing_blocked and not self.is_parsing and self.next_turn is None:
             self._parse()
 
     def flush(self) -> None:
--- a/quota_gateway/net/clients/read_throttle.py
+++ b/quota_gateway/net/clients/read_throttle.py
@@ -6,7 +6,7 @@
 
 from quota_gateway.net.clients.budget import ByteBudget
 
-READ_BYTES = 64 * 1024
+READ_BYTES = 16 * 1024  # at once: of the smallest commands, a read takes some milliseconds to check
 MAX_DISCARDED_BYTES = 1024 * 1024  # read after the last command; no real client sends more
 
 
--- a/tests/test_many_peers.py
+++ b/tests/test_many_peers.py
@@ -9,6 +9,8 @@
 from fakes import FakeServer, call, chunk, listing, local_gateway, resp, row, run, server_reply
 from test_net_process import connect, program
 
+from quota_gateway.net.clients import registry as registry_module
+
 MEMORY_LIMIT_KIB = 192 * 1024  # the deployment's: above it the platform kills the process
 PEERS = 400
 REPLY_BYTES = 60_000
@@ -89,7 +91,7 @@
 
 
 def test_words_that_are_too_long_together_are_rejected_as_they_are_declared():
-    """Guards against peers that stop within several large words: each held 192 KiB of the process's memory."""
+    """Guards against peers that stop within several large words: each held 192 KiB of memory."""
 
     async def test():
         async with local_gateway(FakeServer()) as gateway:
@@ -102,7 +104,7 @@
 
 
 def test_request_with_very_many_fields_is_rejected_and_its_connection_stays_open():
-    """Guards against heads of thousands of short fields, which cost time and memory as objects of their own."""
+    """Guards against heads of thousands of short fields, each of which cost time and memory."""
 
     async def test():
         server = FakeServer(lambda words: server_reply(b"v"))
@@ -114,3 +116,77 @@
             assert len(server.commands) == 1
 
     run(test())
+
+
+# ---- One peer that floods its connection
+
+
+COMMANDS_PER_TURN = 64  # at most, of one connection, while others wait: as many as may be in flight
+
+
+def unsound_commands(count: int) -> list[bytes]:
+    """Requests of a class that does not exist, with a sound one in between that keeps the connection open."""
+    return [call(number, "read" if number % 12 == 0 else "unknown-class") for number in range(1, count + 1)]
+
+
+@pytest.mark.parametrize(
+    "commands", [[resp("PING")] * 20_000, unsound_commands(2000)], ids=["pings", "unsound"]
+)
+def test_event_loop_turns_to_other_clients_between_the_commands_of_a_flood(commands):
+    """Guards against clients that wait for seconds while one connection sends at full speed."""
+
+    async def test():
+        async with local_gateway(FakeServer(lambda words: server_reply(b"v"))) as gateway:
+            loop = asyncio.get_running_loop()
+            handled_per_turn = [0]
+            dispatch = gateway.clients.dispatcher.dispatch
+
+            def count_and_dispatch(client, command):
+                handled_per_turn[-1] += 1
+                dispatch(client, command)
+
+            def begin_turn():
+                handled_per_turn.append(0)
+                loop.call_soon(begin_turn)
+
+            gateway.clients.dispatcher.dispatch = count_and_dispatch
+            begin_turn()
+            peer = await gateway.connect_client()
+            peer.send(*commands)
+            while sum(handled_per_turn) < len(commands):
+                assert await peer.reader.read(1 << 20)
+            assert max(handled_per_turn) <= COMMANDS_PER_TURN
+
+    run(test())
+
+
+def test_commands_that_wait_stay_within_their_limit_while_others_are_handled(monkeypatch):
+    """Guards against memory that grows for as long as a peer sends faster than its requests are answered.
+
+    Each command that was handled reset the count of bytes that wait, and reading went on.
+    """
+    limit_bytes = 256 * 1024
+    monkeypatch.setattr(registry_module, "MAX_WAITING_BYTES", limit_bytes)
+
+    async def test():
+        async with local_gateway(FakeServer(lambda words: server_reply(b"v"))) as gateway:
+            peer = await gateway.connect_client()
+            size = len(call(1))
+            sent = [call(number) for number in range(1, 20_000)]
+            handled = 0
+            most_held = 0
+            dispatch = gateway.clients.dispatcher.dispatch
+
+            def count_and_dispatch(client, command):
+                nonlocal handled, most_held
+                handled += 1
+                most_held = max(most_held, client.total_read_bytes - handled * size)
+                dispatch(client, command)
+
+            gateway.clients.dispatcher.dispatch = count_and_dispatch
+            peer.send(*sent)
+            while handled < 2000:
+                assert await peer.reader.read(1 << 16)
+            assert most_held <= 2 * limit_bytes
+
+    run(test())
