Forward nothing for a client whose end stands behind unread bytes

Cause: a client's end is seen only behind all that it sent, and reading paused while a request was pending: after 1 MB that is no command, and while more commands waited than there is room for.

Change: what is no command is read on, one read a turn; right before an attempt's first byte the kernel's state of the client's connection is asked for.

--- a/quota_gateway/net/client_request.py
+++ b/quota_gateway/net/client_request.py
@@ -13,12 +13,18 @@
     return None
 
 
+def _never() -> bool:
+    return False
+
+
 class ClientRequest:
     """A request in the gateway. It is kept until it has been answered and no attempt is in flight.
 
     ``encode`` returns the command for a server, given the milliseconds that the client still waits.
     ``on_answer`` is called once, with the final answer. ``on_stream`` is called with the length of a streamed
     value and its source; it returns the receiver, or None if the client no longer waits.
+    ``has_client_left`` is asked right before an attempt's first byte: the client's end may stand behind bytes
+    that were not read yet. It reports a client that has left to the driver before it returns true.
     """
 
     __slots__ = (
@@ -26,6 +32,7 @@
         "encode",
         "on_answer",
         "on_stream",
+        "has_client_left",
         "received_ms",
         "deadline_ms",
         "latency_objective_ms",
@@ -41,11 +48,13 @@
         encode: Callable[[float], bytes],
         on_answer: Callable[[bytes], None],
         on_stream: Callable[[int, Source], Sink | None] = _reject_stream,
+        has_client_left: Callable[[], bool] = _never,
     ) -> None:
         self.request_id = request_id
         self.encode = encode
         self.on_answer = on_answer
         self.on_stream = on_stream
+        self.has_client_left = has_client_left
         self.received_ms = 0.0
         self.deadline_ms = 0.0
         self.latency_objective_ms = inf
--- a/quota_gateway/net/clients/command_dispatcher.py
+++ b/quota_gateway/net/clients/command_dispatcher.py
@@ -58,7 +58,7 @@
         client.bad_commands = 0
         slot = ReplySlot(client, None, request.request_id)
         client.replies.append(slot)
-        pending = ClientRequest(request.request_id, call.encode, slot.fill, slot.begin)
+        pending = ClientRequest(request.request_id, call.encode, slot.fill, slot.begin, client.has_left)
         pending.latency_objective_ms = call.latency_objective_ms
         driver.accept(pending, request, request.client_timeout_ms)
 
--- a/quota_gateway/net/clients/connection.py
+++ b/quota_gateway/net/clients/connection.py
@@ -17,6 +17,7 @@
 from quota_gateway.net.close_reason import CloseReason
 from quota_gateway.net.metrics import AwaitedCommand
 from quota_gateway.net.sockets import has_unread_bytes
+from quota_gateway.net.tcp_info import has_peer_closed
 from quota_gateway.state_machine import transition
 
 if TYPE_CHECKING:
@@ -177,16 +178,19 @@
         return not self.takes_commands or self.stream.is_out_of_bounds
 
     def _discard(self, nbytes: int) -> None:
-        """Read and discard what follows the last command, up to a limit.
+        """Read and discard what follows the last command.
 
-        Reading on is the only way to detect that the client disconnects. It also keeps a close from resetting
-        the connection before the client has read the earlier replies. At the limit reading is paused, or the
-        connection is aborted if it is already lingering.
+        Reading on is the only way to detect that the client disconnects: its requests that wait must not be
+        forwarded then. It also keeps a close from resetting the connection before the client has read the
+        earlier replies. Beyond a limit there is one read a turn, and a connection that lingers is aborted.
         """
         self.throttle.discarded_bytes += nbytes
-        if self.state is ClientState.LINGERING and self.throttle.is_discard_exhausted():
+        if not self.throttle.is_discard_exhausted():
+            self._update_reading()
+        elif self.state is ClientState.LINGERING:
             self.end_lingering()
         else:
+            self._await_next_turn()
             self._update_reading()
 
     def _take_bytes(self, data: bytes) -> None:
@@ -240,7 +244,11 @@
     def _take_turn(self) -> None:
         """Go on parsing, and reading, after the event loop has served other connections."""
         self.next_turn = None
-        if self.transport and not self.transport.is_closing():
+        if not self.transport or self.transport.is_closing():
+            return
+        if self._is_discarding():
+            self._update_reading()
+        else:
             self._parse()
 
     def _must_block_parsing(self) -> bool:
@@ -251,7 +259,7 @@
         if self.transport is None or self.transport.is_closing():
             return
         if self._is_discarding():
-            should_pause = self.throttle.is_discard_exhausted()
+            should_pause = self.next_turn is not None
         else:
             holds_commands = self.replies.must_hold_commands()
             self.throttle.set_waiting(self.stream.waiting_bytes() if holds_commands else 0)
@@ -451,6 +459,19 @@
 
     # ---- Closing
 
+    def has_left(self) -> bool:
+        """Whether the client has closed the connection, even behind bytes that were not read yet.
+
+        Its requests are then reported as disconnected, and the connection is ended.
+        """
+        if self.transport is None:
+            return True
+        if not has_peer_closed(self.transport.get_extra_info("socket").fileno()):
+            return False
+        self._drop_replies()
+        self.transport.abort()
+        return True
+
     def close(self, reason: CloseReason = CloseReason.IN_ORDER) -> None:
         """Half-close after the replies that were written; commands without a reply are dropped.
 
--- a/quota_gateway/net/driver.py
+++ b/quota_gateway/net/driver.py
@@ -245,7 +245,9 @@
     def command(self) -> bytes | None:
         """The command to send; None if the client no longer waits or it is too late to begin."""
         now_ms = self._driver.clock()
-        if self.request.is_answered or now_ms >= min(self.ends_ms, self.latest_begin_ms):
+        if self.request.is_answered or self.request.has_client_left():
+            return None
+        if now_ms >= min(self.ends_ms, self.latest_begin_ms):
             return None
         return self.request.encode(self.ends_ms - now_ms)
 
--- a/quota_gateway/net/tcp_info.py
+++ b/quota_gateway/net/tcp_info.py
@@ -14,6 +14,7 @@
 BYTES_RECEIVED_OFFSET = 128
 TCP_INFO_BYTES = 136  # up to the end of tcpi_bytes_received, the last field needed
 MAX_READS = 100  # attempts to read a counter that changes meanwhile
+PEER_CLOSED_STATES = (7, 8)  # tcpi_state, the first byte: TCP_CLOSE after a reset, TCP_CLOSE_WAIT
 COUNTER = struct.Struct("Q")
 IOCTL_RESULT = struct.Struct("i")
 
@@ -38,6 +39,14 @@
     return _tcp_info_counter(descriptor, BYTES_ACKED_OFFSET)
 
 
+def has_peer_closed(descriptor: int) -> bool:
+    """Whether the peer has closed or reset the connection, even behind bytes that were not read yet."""
+    try:
+        return _tcp_info(descriptor)[0] in PEER_CLOSED_STATES
+    except OSError:  # the kernel does not tell
+        return False
+
+
 def _counter_with_queue(descriptor: int, offset: int, request: int) -> tuple[int, int]:
     """A counter and the size of the queue that belongs to it, consistent with each other.
 
@@ -54,7 +63,7 @@
     raise BlockingIOError(errno.EAGAIN, "the connection's TCP byte count changes with every reading")
 
 
-def _tcp_info_counter(descriptor: int, offset: int) -> int:
+def _tcp_info(descriptor: int) -> bytes:
     if descriptor < 0:
         raise OSError(errno.EBADF, "the socket has been closed")
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=descriptor)
@@ -62,6 +71,11 @@
         info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
     finally:
         sock.detach()
+    return info
+
+
+def _tcp_info_counter(descriptor: int, offset: int) -> int:
+    info = _tcp_info(descriptor)
     if len(info) < TCP_INFO_BYTES:
         raise OSError(errno.ENOPROTOOPT, "the kernel's struct tcp_info has no byte counts")
     (count,) = COUNTER.unpack_from(info, offset)
--- a/tests/test_many_peers.py
+++ b/tests/test_many_peers.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 import pytest
-from fakes import FakeServer, call, chunk, listing, local_gateway, resp, row, run, server_reply
+from fakes import FakeServer, call, chunk, listing, local_gateway, resp, row, run, server_reply, until
 from test_net_process import connect, program
 
 from quota_gateway.net.clients import registry as registry_module
@@ -190,3 +190,48 @@
             assert most_held <= 2 * limit_bytes
 
     run(test())
+
+
+# ---- Clients that leave with much still unread
+
+
+BEHIND = {  # a client's request
+    "no commands": b"junk\r\n" * 500_000,
+    "commands": b"".join(call(number, "buy", body=bytes(1000)) for number in range(2, 150)),
+    "more commands than the kernel takes": b"".join(
+        call(number, "buy", body=bytes(60_000)) for number in range(2, 130)
+    ),
+}
+
+
+@pytest.mark.parametrize("kind", ["read", "post", "buy"])
+@pytest.mark.parametrize("behind", BEHIND)
+def test_waiting_request_is_not_forwarded_if_its_client_left_behind_unread_bytes(monkeypatch, kind, behind):
+    """Guards against running requests of clients that sent much at once and went.
+
+    The client's end stands behind bytes that the gateway does not read while the request waits.
+    """
+    monkeypatch.setattr(registry_module, "MAX_WAITING_BYTES", 64 * 1024)
+
+    async def test():
+        fake = FakeServer(lambda words: server_reply(b"v"))
+        async with local_gateway(fake) as gateway:
+            gateway.update_servers()  # no server is ready: the request waits
+            sock = socket.create_connection(("127.0.0.1", gateway.clients.listener.getsockname()[1]))
+            sock.setblocking(False)
+            sending = asyncio.create_task(
+                asyncio.get_running_loop().sock_sendall(sock, call(1, kind) + BEHIND[behind])
+            )
+            await until(lambda: f"{1:016x}" in gateway.driver.requests)
+            await asyncio.wait([sending], timeout=0.5)
+            sending.cancel()
+            await asyncio.gather(sending, return_exceptions=True)
+            sock.close()
+            await asyncio.sleep(0.1)  # the rule: nothing begins later than this after the close
+            gateway.update_servers(fake.entry(1))
+            peer = await gateway.connect_client()
+            assert await peer.ask(call(1000)) == b"v"
+            assert [words[2] for words in fake.commands] == [b"%016x" % 1000]
+            await until(lambda: not gateway.driver.requests)
+
+    run(test())
