Do not run an id again whose client left while it was out at a server

Cause: a request is forgotten once its client left and its attempts were given up; a server may have begun one of them.

Change: such an id is remembered to the end of its client's time, 4,096 at most, and gets the error of an id in hand. The other process of an upgrade doesn't know it: open.

--- a/quota_gateway/net/clients/command_dispatcher.py
+++ b/quota_gateway/net/clients/command_dispatcher.py
@@ -49,7 +49,7 @@
             # A command that waited for earlier ones: its client's timeout has been running since it was read.
             call = self.parser.parse(command, driver.clock() - client.stream.latest_command_read_ms())
             request = call.request
-            if request.request_id in driver.requests:
+            if driver.is_in_hand(request.request_id):
                 raise CommandError("a request of this id is in hand")
         except ValueError as error:  # CommandError, or a value that api.Request rejects
             self._reject(client, f"-ERR {error}\r\n".encode("ascii", "replace"))
--- a/quota_gateway/net/driver.py
+++ b/quota_gateway/net/driver.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import logging
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from math import inf
 from typing import Any
@@ -27,6 +27,9 @@
 DELIVERY_MARGIN_MS = 10.0  # covers the last byte's transfer to the server and a delayed event loop
 
 
+MAX_ABANDONED_IDS = 4096
+
+
 class Driver:
     """Drives one policy ``Gateway``: passes it events one after the other and carries out its actions.
 
@@ -41,6 +44,7 @@
         self.requests: dict[str, ClientRequest] = {}  # by id
         self.metrics = GatewayMetrics()
         self.timers = TimerQueue(lambda: self.clock())
+        self._abandoned_ids: OrderedDict[str, float] = OrderedDict()  # to the end of each request's time
         self._policy_timers: dict[int, Timer] = {}  # that the policy has set, by token
         self.on_peer_usage: Callable[[api.PeerUsage], None] = lambda _: None
         self.on_set_serving: Callable[[api.SetServing], None] = lambda _: None
@@ -118,10 +122,30 @@
         if request and (request.streamed_attempt or not request.is_answered):
             if not request.is_answered:
                 self.metrics.count_disconnected(close_reason)
+                self._remember_abandoned(request)
             request.is_answered = True
             self.post(api.ClientDisconnected(request_id))
             self.forget_if_done(request)
 
+    def is_in_hand(self, request_id: str) -> bool:
+        """Whether a request of this id is in the gateway, or may still run although its client has left.
+
+        Guards against running an id twice that comes again, on another connection, after its client left.
+        """
+        return request_id in self.requests or self._abandoned_ids.get(request_id, 0.0) > self.clock()
+
+    def _remember_abandoned(self, request: ClientRequest) -> None:
+        """Remember a request that a server may have begun, until its client would have stopped waiting."""
+        if not request.attempts_sent:
+            return
+        self._abandoned_ids[request.request_id] = request.deadline_ms
+        while self._abandoned_ids:
+            oldest = next(iter(self._abandoned_ids))
+            is_over = self._abandoned_ids[oldest] <= self.clock()
+            if not is_over and len(self._abandoned_ids) <= MAX_ABANDONED_IDS:
+                return
+            del self._abandoned_ids[oldest]
+
     def unanswered_count(self) -> int:
         """Number of requests whose clients wait for an answer."""
         return sum(not request.is_answered for request in self.requests.values())
--- a/tests/test_many_peers.py
+++ b/tests/test_many_peers.py
@@ -235,3 +235,23 @@
             await until(lambda: not gateway.driver.requests)
 
     run(test())
+
+
+@pytest.mark.parametrize("kind", ["read", "post", "buy"])
+def test_id_that_comes_again_after_its_client_left_is_not_run_a_second_time(kind):
+    """Guards against an id that runs twice: as its client left, an attempt was given up that may run."""
+
+    async def test():
+        fake = FakeServer(lambda words: None if words[2] == b"%016x" % 1 else server_reply(b"v"))
+        async with local_gateway(fake) as gateway:
+            first = await gateway.connect_client()
+            first.send(call(1, kind))
+            await fake.until(lambda: len(fake.commands) == 1)
+            first.writer.close()
+            await until(lambda: not gateway.driver.requests)
+            second = await gateway.connect_client()
+            assert await second.ask(call(1, kind)) == "-ERR a request of this id is in hand"
+            assert await second.ask(call(2, kind)) == b"v"
+            assert [words[2] for words in fake.commands] == [b"%016x" % 1, b"%016x" % 2]
+
+    run(test())
