Ask for a client's state only where the kernel told it at the start

Need: where sockets are not the kernel's own, its state of them says nothing: an unconnected one is 'closed', and every request would count as one of a client that has left.

Change: the state is trusted only if the connection was established, or closed by its peer, as it was accepted.

--- a/quota_gateway/net/clients/connection.py
+++ b/quota_gateway/net/clients/connection.py
@@ -17,7 +17,7 @@
 from quota_gateway.net.close_reason import CloseReason
 from quota_gateway.net.metrics import AwaitedCommand
 from quota_gateway.net.sockets import has_unread_bytes
-from quota_gateway.net.tcp_info import has_peer_closed
+from quota_gateway.net.tcp_info import has_peer_closed, tells_state
 from quota_gateway.state_machine import transition
 
 if TYPE_CHECKING:
@@ -68,6 +68,7 @@
         self.state = ClientState.OPEN
         self.close_reason: CloseReason | None = None  # None unless this gateway ended the connection
         self.transport: asyncio.Transport | None = None
+        self.tells_state = False  # the kernel tells whether the client has closed the connection
         self.opened_at_s = clients.loop.time()
         self.idle_since = self.opened_at_s
         self.has_requested = False  # a request was received; clients now keep it open between requests
@@ -97,6 +98,7 @@
         """Called by the event loop once the connection is established."""
         # No isinstance check: uvloop's transports don't inherit from asyncio.Transport.
         self.transport = cast(asyncio.Transport, transport)
+        self.tells_state = tells_state(self.transport.get_extra_info("socket").fileno())
         if not self.has_requested:
             self.command_timer.start(self._on_command_timeout, self.waited_s)
         self.clients.register(self)
@@ -466,7 +468,7 @@
         """
         if self.transport is None:
             return True
-        if not has_peer_closed(self.transport.get_extra_info("socket").fileno()):
+        if not self.tells_state or not has_peer_closed(self.transport.get_extra_info("socket").fileno()):
             return False
         self._drop_replies()
         self.transport.abort()
--- a/quota_gateway/net/tcp_info.py
+++ b/quota_gateway/net/tcp_info.py
@@ -14,7 +14,10 @@
 BYTES_RECEIVED_OFFSET = 128
 TCP_INFO_BYTES = 136  # up to the end of tcpi_bytes_received, the last field needed
 MAX_READS = 100  # attempts to read a counter that changes meanwhile
-PEER_CLOSED_STATES = (7, 8)  # tcpi_state, the first byte: TCP_CLOSE after a reset, TCP_CLOSE_WAIT
+# tcpi_state, the first byte
+ESTABLISHED = b"\x01"
+CLOSED = b"\x07"  # after a reset
+CLOSE_WAIT = b"\x08"  # the peer has closed
 COUNTER = struct.Struct("Q")
 IOCTL_RESULT = struct.Struct("i")
 
@@ -39,12 +42,24 @@
     return _tcp_info_counter(descriptor, BYTES_ACKED_OFFSET)
 
 
+def tells_state(descriptor: int) -> bool:
+    """Whether the kernel tells the state of a connection that was just accepted, as of a TCP socket."""
+    return _state(descriptor) in (ESTABLISHED, CLOSE_WAIT)
+
+
 def has_peer_closed(descriptor: int) -> bool:
-    """Whether the peer has closed or reset the connection, even behind bytes that were not read yet."""
+    """Whether the peer has closed or reset the connection, even behind bytes that were not read yet.
+
+    Only for a connection of which ``tells_state`` was true.
+    """
+    return _state(descriptor) in (CLOSED, CLOSE_WAIT)
+
+
+def _state(descriptor: int) -> bytes:
     try:
-        return _tcp_info(descriptor)[0] in PEER_CLOSED_STATES
+        return _tcp_info(descriptor)[:1]
     except OSError:  # the kernel does not tell
-        return False
+        return b""
 
 
 def _counter_with_queue(descriptor: int, offset: int, request: int) -> tuple[int, int]:
--- a/tests/test_tcp_info.py
+++ b/tests/test_tcp_info.py
@@ -59,3 +59,21 @@
             tcp_info.bytes_acknowledged(descriptor)
     with pytest.raises(OSError, match="closed"):
         tcp_info.bytes_acknowledged(far.fileno())
+
+
+def test_end_of_a_peer_is_told_behind_unread_bytes_and_only_where_the_kernel_knows_the_connection():
+    """Guards against requests of clients that left, and against taking a socket without a state for closed."""
+    near, far = connected_sockets()
+    assert tcp_info.tells_state(far.fileno())
+    assert not tcp_info.has_peer_closed(far.fileno())
+    near.sendall(b"unread")
+    near.close()
+    assert tcp_info.has_peer_closed(far.fileno())
+    far.close()
+    with socket.socket() as unconnected:
+        assert not tcp_info.tells_state(unconnected.fileno())
+    pair, other = socket.socketpair()  # no TCP socket
+    assert not tcp_info.tells_state(pair.fileno())
+    assert not tcp_info.has_peer_closed(pair.fileno())
+    pair.close()
+    other.close()
