--- a/tests/test_tcp_info.py
+++ b/tests/test_tcp_info.py
@@ -62,7 +62,7 @@
 
 
 def test_end_of_a_peer_is_told_behind_unread_bytes_and_only_where_the_kernel_knows_the_connection():
-    """Guards against requests of clients that left, and against taking a socket without a state for closed."""
+    """Guards against requests of clients that left, and against taking a socket with no state for closed."""
     near, far = connected_sockets()
     assert tcp_info.tells_state(far.fileno())
     assert not tcp_info.has_peer_closed(far.fileno())
