Parse the commands of later turns although invalid bytes follow them

Callers would see: more than eight commands in one read with invalid bytes behind them, and only the first eight answered; the connection hangs without its error line.

Cause: a turn looked at whether input is discarded, which invalid bytes make true while commands still wait.

Change: a turn parses for as long as the connection takes commands.

The whole suite has not been run on this commit yet.

--- a/quota_gateway/net/clients/connection.py
+++ b/quota_gateway/net/clients/connection.py
@@ -248,10 +248,10 @@
         self.next_turn = None
         if not self.transport or self.transport.is_closing():
             return
-        if self._is_discarding():
-            self._update_reading()
-        else:
+        if self.takes_commands:  # also if invalid bytes follow the commands that wait
             self._parse()
+        else:
+            self._update_reading()
 
     def _must_block_parsing(self) -> bool:
         return self.replies.is_stuck or self.replies.must_hold_commands()
--- a/tests/test_many_peers.py
+++ b/tests/test_many_peers.py
@@ -160,6 +160,21 @@
     run(test())
 
 
+def test_commands_of_several_turns_are_all_answered_before_the_error_for_what_follows_them():
+    """Guards against commands that are dropped, and a connection that hangs, if junk follows them."""
+
+    async def test():
+        async with local_gateway(FakeServer(lambda words: server_reply(b"v"))) as gateway:
+            peer = await gateway.connect_client()
+            peer.send(*(call(number) for number in range(1, 31)), b"junk\r\n")
+            for _ in range(30):
+                assert await peer.reply() == b"v"
+            assert await peer.reply() == "-ERR Protocol error"
+            assert await peer.reply() is None
+
+    run(test())
+
+
 def test_commands_that_wait_stay_within_their_limit_while_others_are_handled(monkeypatch):
     """Guards against memory that grows for as long as a peer sends faster than its requests are answered.
 
