Tie a timer to its request in one place

Need: five places armed a timer and noted its token by hand; one that forgets to would keep the request.

Change: Context.arm_for arms and notes, Context.disarm_all forgets what it noted. The same timers as before.

Measured: the tests of rules, recordings, library and request memory pass.

--- a/quota_gateway/policy/admission.py
+++ b/quota_gateway/policy/admission.py
@@ -153,8 +153,7 @@
         self.responses.arm_deadline(pending)
         if isinstance(decision, Hold):
             self.pending_requests.hold(pending)
-            token = self.context.arm(decision.delay_ms, self._on_hold_ended, pending)
-            pending.timer_tokens.append(token)
+            self.context.arm_for(pending, decision.delay_ms, self._on_hold_ended, pending)
         else:
             self._send_or_queue(pending)
 
@@ -193,8 +192,7 @@
         if pending.state is not QUEUED:
             useful_until_ms = pending.arrived_ms + self.useful_wait_ms(pending.request_class)
             useful_ms = max(0.0, useful_until_ms - self.context.now_ms)
-            token = self.context.arm(useful_ms, self._on_useful_wait_ended, pending)
-            pending.timer_tokens.append(token)
+            self.context.arm_for(pending, useful_ms, self._on_useful_wait_ended, pending)
             self.pending_requests.enqueue(pending)
         shed = self.request_to_shed()
         if shed:
@@ -203,8 +201,7 @@
         if rate_ceiling_wait_ms and pending.state is QUEUED and not pending.rate_ceiling_timer_armed:
             pending.rate_ceiling_timer_armed = True
             delay_ms = rate_ceiling_wait_ms + self.context.settings.tick_ms
-            token = self.context.arm(delay_ms, self._on_rate_ceiling_wait_ended, pending)
-            pending.timer_tokens.append(token)
+            self.context.arm_for(pending, delay_ms, self._on_rate_ceiling_wait_ended, pending)
 
     def request_to_shed(self) -> PendingRequest | None:
         """The queued request of least priority, if more are queued than may be in flight at once.
--- a/quota_gateway/policy/attempts.py
+++ b/quota_gateway/policy/attempts.py
@@ -58,8 +58,7 @@
         self.context.actions.append(Send(request_id, server.id, begin_within_ms=begin_within_ms))
         # Both the hedging delay and the time after which an attempt without a response counts as a failure.
         threshold_ms = LATENCY_THRESHOLD_RATIO * pending.request_class.latency_objective_ms
-        token = self.context.arm(threshold_ms, self._on_latency_threshold, (pending, number))
-        pending.timer_tokens.append(token)
+        self.context.arm_for(pending, threshold_ms, self._on_latency_threshold, (pending, number))
 
     def on_attempt_ended(self, event: AttemptEnded) -> bool:
         """Learn from an attempt that has ended, then retry or answer.
--- a/quota_gateway/policy/responses.py
+++ b/quota_gateway/policy/responses.py
@@ -42,8 +42,7 @@
         pending.deadline_ms = min(pending.deadline_ms, self.shutdown_at_ms)
         margin_ms = FINAL_ANSWER_TICKS * self.context.settings.tick_ms
         remaining_ms = pending.deadline_ms - self.context.now_ms - margin_ms
-        token = self.context.arm(max(0.0, remaining_ms), self._on_deadline, pending)
-        pending.timer_tokens.append(token)
+        self.context.arm_for(pending, max(0.0, remaining_ms), self._on_deadline, pending)
 
     def _on_deadline(self, pending: PendingRequest) -> None:
         if not pending.state.is_streaming:
@@ -121,6 +120,6 @@
         if not pending.state.is_answered:
             return
         if self.pending_requests.finish(pending):
-            self.context.disarm(pending.timer_tokens)
+            self.context.disarm_all(pending)
             self.customers.request_ended(pending)
         self.peer_usage.report(pending.customer, 0.0)
--- a/quota_gateway/state/context.py
+++ b/quota_gateway/state/context.py
@@ -5,11 +5,14 @@
 from collections.abc import Callable
 from math import inf
 from random import Random
-from typing import Any, NamedTuple, TypeVar
+from typing import TYPE_CHECKING, Any, NamedTuple, TypeVar
 
 from quota_gateway.api import Action, Log, SetTimer, Settings, TimerFired
 from quota_gateway.state.decay import Decay
 
+if TYPE_CHECKING:
+    from quota_gateway.state.pending_request import PendingRequest
+
 MAX_LOGGED_ONCE = 100  # different lines remembered by `Context.log_once`, so that none is logged twice
 
 Argument = TypeVar("Argument")
@@ -65,12 +68,22 @@
         self.actions.append(SetTimer(self.last_token, delay_ms))
         return self.last_token
 
-    def disarm(self, tokens: list[int]) -> None:
-        """Forget timers, so that they keep nothing alive; those that have fired already are passed over.
+    def arm_for(
+        self,
+        pending: PendingRequest,
+        delay_ms: float,
+        callback: Callable[[Argument], None],
+        argument: Argument,
+    ) -> None:
+        """Arm a timer that means nothing beyond the end of this request."""
+        pending.timer_tokens.append(self.arm(delay_ms, callback, argument))
+
+    def disarm_all(self, pending: PendingRequest) -> None:
+        """Forget the timers of a request, so that they keep nothing alive; some may have fired already.
 
         There is no action for this: a timer that fires all the same does nothing.
         """
-        self.disarmed += [token for token in tokens if self.timers.pop(token, None)]
+        self.disarmed += [token for token in pending.timer_tokens if self.timers.pop(token, None)]
 
     def fire(self, event: TimerFired) -> None:
         """Call back for a timer that is due. A timer with an unknown token does nothing."""
--- a/quota_gateway/state/pending_request.py
+++ b/quota_gateway/state/pending_request.py
@@ -72,7 +72,7 @@
         # Written by policy/admission.py: while queued, whether a timer ends the wait for the rate ceiling.
         self.rate_ceiling_timer_armed = False
 
-        # Written by whoever arms a timer of this request; policy/responses.py disarms them at its end.
+        # Written by state/context.py: of the timers that end with this request.
         self.timer_tokens: list[int] = []
 
         # Written by state/pending_requests.py
