Say once what pauses a client's reading, and ask the kernel last

Need: conditions that stood twice: the pause for the next turn in both branches, owes_reply twice in is_idle, and a limit with None for no limit beside a method to look at it.

Change: each once; before a first byte the deadline is looked at before the kernel is asked. Same behaviour.

Measured: the tests of clients, crossings, long values, owed answers and many peers pass.

--- a/quota_gateway/net/clients/connection.py
+++ b/quota_gateway/net/clients/connection.py
@@ -187,13 +187,13 @@
         earlier replies. Beyond a limit there is one read a turn, and a connection that lingers is aborted.
         """
         self.throttle.discarded_bytes += nbytes
-        if not self.throttle.is_discard_exhausted():
-            self._update_reading()
-        elif self.state is ClientState.LINGERING:
+        is_exhausted = self.throttle.is_discard_exhausted()
+        if is_exhausted and self.state is ClientState.LINGERING:
             self.end_lingering()
-        else:
+            return
+        if is_exhausted:
             self._await_next_turn()
-            self._update_reading()
+        self._update_reading()
 
     def _take_bytes(self, data: bytes) -> None:
         self.clients.connections.move_to_end(self)  # most recently used: evicted last
@@ -260,14 +260,11 @@
         """Pause or resume reading; called whenever one of its conditions may have changed."""
         if self.transport is None or self.transport.is_closing():
             return
-        if self._is_discarding():
-            should_pause = self.next_turn is not None
-        else:
+        should_pause = self.next_turn is not None
+        if not self._is_discarding():
             holds_commands = self.replies.must_hold_commands()
             self.throttle.set_waiting(self.stream.waiting_bytes() if holds_commands else 0)
-            should_pause = (
-                self.replies.is_stuck or self.throttle.is_over_budget() or self.next_turn is not None
-            )
+            should_pause = should_pause or self.replies.is_stuck or self.throttle.is_over_budget()
         self.throttle.apply(self.transport, should_pause)
         # While parsing is blocked, complete commands may be waiting unparsed: the peer is not late.
         self.command_timer.set_suspended(should_pause or self.is_parsing_blocked)
@@ -450,7 +447,7 @@
 
     def is_idle(self) -> bool:
         """Whether nothing is owed on it, so that it could also be ended without a half-close."""
-        return self.can_close_in_order() and not self.owes_answer()
+        return not self.has_unsent_bytes() and self.can_close_in_order()
 
     def has_unread_bytes(self) -> bool:
         """Whether the kernel has received bytes, or the client's disconnect, that were not read yet."""
--- a/quota_gateway/net/declared_lengths.py
+++ b/quota_gateway/net/declared_lengths.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+from math import inf
 from typing import NamedTuple
 
 STREAMED_VALUE_BYTES = 64 * 1024  # a longer value is streamed to the client
@@ -52,8 +53,8 @@
     longer than declared: the parser does not check that the bytes after the word are a line end.
 
     With ``is_replies``, single-line values and nulls are valid too, as servers send them.
-    ``max_array_bytes`` limits what the words of one array declare together; None for no limit. A peer that
-    stops within an array can make its receiver hold no more than that.
+    ``max_array_bytes`` limits what the words of one array declare together: a peer that stops within an
+    array can make its receiver hold no more than that.
     """
 
     __slots__ = (
@@ -68,9 +69,7 @@
         "arrays_completed",
     )
 
-    def __init__(
-        self, max_word_bytes: int, is_replies: bool = False, max_array_bytes: int | None = None
-    ) -> None:
+    def __init__(self, max_word_bytes: int, is_replies: bool = False, max_array_bytes: float = inf) -> None:
         self._max_word_bytes = max_word_bytes
         self._max_array_bytes = max_array_bytes
         self._array_bytes = 0  # that the words of the array have declared so far
@@ -153,10 +152,7 @@
             self._words_left = max(0, self._words_left - 1)
             self._word_bytes_left = 0 if is_null else length + len(LINE_END)
             self._array_bytes += length
-            return length <= self._max_word_bytes and not self._is_array_too_long()
+            return length <= self._max_word_bytes and self._array_bytes <= self._max_array_bytes
         self._words_left = length
         self._array_bytes = 0
         return length <= MAX_WORDS and (self._is_replies or length > 0)
-
-    def _is_array_too_long(self) -> bool:
-        return self._max_array_bytes is not None and self._array_bytes > self._max_array_bytes
--- a/quota_gateway/net/driver.py
+++ b/quota_gateway/net/driver.py
@@ -26,8 +26,7 @@
 # net/clients/commands.py does the same for a client's timeout.
 DELIVERY_MARGIN_MS = 10.0  # covers the last byte's transfer to the server and a delayed event loop
 
-
-MAX_ABANDONED_IDS = 4096
+MAX_ABANDONED_IDS = 4096  # remembered, of requests whose clients left
 
 
 class Driver:
@@ -269,9 +268,9 @@
     def command(self) -> bytes | None:
         """The command to send; None if the client no longer waits or it is too late to begin."""
         now_ms = self._driver.clock()
-        if self.request.is_answered or self.request.has_client_left():
+        if self.request.is_answered or now_ms >= min(self.ends_ms, self.latest_begin_ms):
             return None
-        if now_ms >= min(self.ends_ms, self.latest_begin_ms):
+        if self.request.has_client_left():  # last, as it asks the kernel
             return None
         return self.request.encode(self.ends_ms - now_ms)
 
