--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -86,7 +86,7 @@
 
 
 def known_red_tests() -> set[str]:
-    """The tests that KNOWN-RED.txt lists: each is the first word of an entry."""
+    """The tests that KNOWN-RED.txt lists, one a line."""
     return {line.strip() for line in KNOWN_RED.read_text().splitlines() if line.startswith("tests/")}
 
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -220,6 +220,22 @@
         gateway.servers.close()
 
 
+def port(gateway: LocalGateway) -> int:
+    """The port of a gateway's clients."""
+    listener = gateway.clients.listener
+    assert listener
+    return int(listener.getsockname()[1])
+
+
+async def connect_with_small_buffer(port: int) -> socket.socket:
+    """Connect a client socket with a small receive buffer, which the test reads itself."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", port))
+    return sock
+
+
 class FakeDiscovery:
     """A discovery service: keeps each requested path, and each watch open for the test to write to."""
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,7 +10,7 @@
 from dataclasses import replace
 
 import pytest
-from fakes import SETTINGS, FakeServer, RawClient, call, local_gateway, resp, run, server_reply, until
+from fakes import SETTINGS, FakeServer, RawClient, call, local_gateway, port, resp, run, server_reply, until
 
 from quota_gateway import Plan, SetServing
 from quota_gateway.net.clients import connection as connection_module
@@ -25,10 +25,6 @@
     return b"$%d\r\n%b\r\n" % (len(value), value)
 
 
-def port(gateway) -> int:
-    return gateway.clients.listener.getsockname()[1]
-
-
 async def connect_and_request(gateway, command: bytes = b"") -> RawClient:
     """Connect a client that sends one request and reads its reply; it is idle afterwards."""
     raw = RawClient(port(gateway))
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 
 import pytest
-from fakes import SETTINGS, FakeServer, RawClient, call, local_gateway, run, server_reply, until
+from fakes import SETTINGS, FakeServer, RawClient, call, local_gateway, port, run, server_reply, until
 from test_net_driver import FakePolicy, accept_request
 from test_net_servers import OutcomeCollector
 
@@ -41,10 +41,6 @@
         return await self.loop.create_connection(*arguments, **more)
 
 
-def port(gateway) -> int:
-    return gateway.clients.listener.getsockname()[1]
-
-
 def advance_clock(gateway, ms: float) -> None:
     """Move the clock of the driver and the policy code forward."""
     clock = gateway.driver.clock
--- a/tests/test_long_values.py
+++ b/tests/test_long_values.py
@@ -1,11 +1,10 @@
 """Long values: streamed to the client, paused while it is slow, never passed on as complete if cut short."""
 
 import asyncio
-import socket
 
 import pytest
 from conftest import Rig, entry, rig_with
-from fakes import FakeServer, RawClient, call, local_gateway, resp, run, until
+from fakes import FakeServer, RawClient, call, connect_with_small_buffer, local_gateway, resp, run, until
 
 from quota_gateway import AttemptEnded, Limits, Status, StreamStarted
 from quota_gateway.net.clients import Client
@@ -164,15 +163,6 @@
     run(test())
 
 
-async def connect_with_small_buffer(port: int) -> socket.socket:
-    """Connect a client socket with a small receive buffer, which the test reads itself."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    sock.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", port))
-    return sock
-
-
 def test_slow_clients_pause_reading_from_servers_and_little_is_buffered_for_them():
     async def test():
         loop, many = asyncio.get_running_loop(), 12
--- a/tests/test_many_peers.py
+++ b/tests/test_many_peers.py
@@ -2,12 +2,21 @@
 
 import asyncio
 import socket
-from contextlib import asynccontextmanager
 from pathlib import Path
 
 import pytest
-from fakes import FakeServer, call, chunk, listing, local_gateway, resp, row, run, server_reply, until
-from test_net_process import connect, program
+from fakes import (
+    FakeServer,
+    call,
+    connect_with_small_buffer,
+    local_gateway,
+    port,
+    resp,
+    run,
+    server_reply,
+    until,
+)
+from test_net_process import program, ready_client
 
 from quota_gateway.net.clients import registry as registry_module
 
@@ -17,31 +26,9 @@
 STEADY_REQUESTS = 200
 
 
-def memory_kib(pid: int, key: str = "VmHWM") -> int:
+def peak_memory_kib(pid: int) -> int:
     status = Path(f"/proc/{pid}/status").read_text()
-    return int(status.split(f"{key}:")[1].split()[0])
-
-
-@asynccontextmanager
-async def serving_program(tmp_path, server: FakeServer):
-    """A process that is ready, and the port of its clients."""
-    await server.start()
-    async with program(tmp_path, server) as (process, port, discovery):
-        steady = await connect(port)
-        _, watch = await discovery.watch()
-        watch.write(chunk(listing(2, row("s-1", server.port), reset=True)))
-        while await steady.ask(resp("PING")) != b"PONG":
-            await asyncio.sleep(0.01)
-        yield process, port, steady
-
-
-def slow_socket(port: int) -> socket.socket:
-    """A peer of which the gateway's kernel takes everything, and which reads nothing."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    sock.connect(("127.0.0.1", port))
-    sock.setblocking(False)
-    return sock
+    return int(status.split("VmHWM:")[1].split()[0])
 
 
 MANY_FIELDS = "c=read,t=free,d=4000,units=1," + ",".join(f"n{number:x}=" for number in range(8000))
@@ -67,10 +54,11 @@
 
     async def test():
         loop = asyncio.get_running_loop()
-        server = FakeServer(lambda words: server_reply(b"v" * REPLY_BYTES))
-        async with serving_program(tmp_path, server) as (process, port, steady):
+        server = await FakeServer(lambda words: server_reply(b"v" * REPLY_BYTES)).start()
+        async with program(tmp_path, server) as (process, clients_port, discovery):
+            steady = await ready_client(clients_port, discovery, server)
             assert await steady.ask(call(1)) == b"v" * REPLY_BYTES
-            socks = [slow_socket(port) for _ in range(PEERS)]
+            socks = [await connect_with_small_buffer(clients_port) for _ in range(PEERS)]
             sending = [
                 asyncio.create_task(loop.sock_sendall(sock, PIECES[behaviour](number)))
                 for number, sock in enumerate(socks, 1)
@@ -85,7 +73,7 @@
             for sock in socks:
                 sock.close()
             assert process.returncode is None
-            assert memory_kib(process.pid) < MEMORY_LIMIT_KIB
+            assert peak_memory_kib(process.pid) < MEMORY_LIMIT_KIB
 
     run(test())
 
@@ -232,7 +220,7 @@
         fake = FakeServer(lambda words: server_reply(b"v"))
         async with local_gateway(fake) as gateway:
             gateway.update_servers()  # no server is ready: the request waits
-            sock = socket.create_connection(("127.0.0.1", gateway.clients.listener.getsockname()[1]))
+            sock = socket.create_connection(("127.0.0.1", port(gateway)))
             sock.setblocking(False)
             sending = asyncio.create_task(
                 asyncio.get_running_loop().sock_sendall(sock, call(1, kind) + BEHIND[behind])
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -183,15 +183,21 @@
         await kill_if_running(process)
 
 
+async def ready_client(port: int, discovery: FakeDiscovery, server: FakeServer) -> RespClient:
+    """A client of the process, which is ready: it knows the list with this server."""
+    peer = await connect(port)
+    _, watch = await discovery.watch()
+    watch.write(chunk(listing(2, row("s-1", server.port), reset=True)))
+    while await peer.ask(resp("PING")) != b"PONG":
+        await asyncio.sleep(0.01)
+    return peer
+
+
 def test_program_is_ready_once_it_has_a_server_list_and_serves(tmp_path):
     async def test():
         server = await FakeServer(lambda words: server_reply(b"v")).start()
         async with program(tmp_path, server) as (process, port, discovery):
-            peer = await connect(port)
-            _, watch = await discovery.watch()
-            watch.write(chunk(listing(2, row("s-1", server.port), reset=True)))
-            while await peer.ask(resp("PING")) != b"PONG":
-                await asyncio.sleep(0.01)
+            peer = await ready_client(port, discovery, server)
             assert await peer.ask(call(1)) == b"v"
             process.send_signal(signal.SIGTERM)
             assert await process.wait() == 0
--- a/tests/test_owed_answers.py
+++ b/tests/test_owed_answers.py
@@ -7,7 +7,7 @@
 import asyncio
 
 import pytest
-from fakes import SETTINGS, FakeServer, RawClient, call, local_gateway, run, server_reply, until
+from fakes import SETTINGS, FakeServer, RawClient, call, local_gateway, port, run, server_reply, until
 
 from quota_gateway import SetServing
 from quota_gateway.net.clients import Client
@@ -21,10 +21,6 @@
 COMMANDS = 120
 
 
-def port(gateway) -> int:
-    return gateway.clients.listener.getsockname()[1]
-
-
 async def slow_reader(gateway) -> tuple[RawClient, Client]:
     """A client whose replies fill the write buffer while its further commands wait, and its connection."""
     raw = RawClient(port(gateway), receive_buffer_bytes=4096)
--- a/tests/test_request_outcomes.py
+++ b/tests/test_request_outcomes.py
@@ -6,7 +6,7 @@
 from contextlib import asynccontextmanager
 
 import pytest
-from fakes import FakeServer, RawClient, call, local_gateway, resp, run, server_reply, until
+from fakes import FakeServer, RawClient, call, local_gateway, port, resp, run, server_reply, until
 
 from quota_gateway.net.clients import command_timer as command_timer_module
 from quota_gateway.net.clients import reply_budget as reply_budget_module
@@ -29,10 +29,6 @@
 }
 
 
-def port(gateway) -> int:
-    return gateway.clients.listener.getsockname()[1]
-
-
 def silent_server() -> FakeServer:
     return FakeServer(lambda _words: None)
 
